Set up the modules, the design page and the shared types

The repository was empty. This adds the Maven modules, ktlint and detekt at the validate phase, the configuration types, the messages between processes with CBOR framing, and first versions of the scheduler, dispatch and choice state machines whose signatures the other modules build on.

The framing property test found that the CBOR decoder throws IllegalStateException on truncated input; every decoder failure now ends as a ProtocolException.

Ruled out: kotlinx-coroutines 1.10.2, because Ktor 3.5.2 is built on 1.11.0. Conclusion: the modules build; no program does anything yet.

--- /dev/null
+++ b/protocol/src/main/kotlin/io/teaselspring/protocol/Message.kt
@@ -0,0 +1,303 @@
+/*
+ * Messages between the system's own processes. Every connection starts with Hello and Proof from both sides. Requests
+ * are multiplexed: an answer carries the request id and the attempt and is never matched by its order.
+ *
+ * Serial names are short because the type name travels with each message; control traffic has a budget of 4 KB/s per
+ * daemon.
+ */
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package io.teaselspring.protocol
+
+import io.teaselspring.core.ClassName
+import io.teaselspring.core.DataCentre
+import io.teaselspring.core.Incarnation
+import io.teaselspring.core.InstanceId
+import io.teaselspring.core.KeyId
+import io.teaselspring.core.ModelName
+import io.teaselspring.core.OrganisationId
+import io.teaselspring.core.RequestId
+import io.teaselspring.core.UpstreamName
+import io.teaselspring.core.config.ConfigChange
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
+
+/** Version of this protocol; peers with another major version are refused. */
+public const val PROTOCOL_VERSION: Int = 1
+
+/** The role of a process. */
+@Serializable
+public enum class Role {
+    @SerialName("entry")
+    ENTRY,
+
+    @SerialName("agent")
+    AGENT,
+}
+
+/** What kind of call a submitted request is. */
+@Serializable
+public enum class CallKind {
+    /** A chat completion on a model engine; the agent reads the engine's event stream. */
+    @SerialName("chat")
+    CHAT,
+
+    /** A call on a plain service, passed through. */
+    @SerialName("http")
+    HTTP,
+}
+
+/** Whether a request that failed can have run. */
+@Serializable
+public enum class RunState {
+    /** The request has certainly not run and will not run. */
+    @SerialName("not_run")
+    NOT_RUN,
+
+    /** The request may have run, in whole or in part. */
+    @SerialName("unknown")
+    UNKNOWN,
+}
+
+/** Why an agent did not run a request. */
+@Serializable
+public enum class NotRunReason {
+    /** The predicted wait misses the class's target. */
+    @SerialName("late")
+    TOO_LATE,
+
+    /** The queue is full. */
+    @SerialName("full")
+    QUEUE_FULL,
+
+    /** Evicted from the queue for a request of a higher tier. */
+    @SerialName("displaced")
+    DISPLACED,
+
+    /** The agent or its upstream is draining or stopped. */
+    @SerialName("draining")
+    DRAINING,
+
+    /** The upstream does not answer. */
+    @SerialName("upstream_down")
+    UPSTREAM_DOWN,
+
+    /** The key was withdrawn. */
+    @SerialName("key_withdrawn")
+    KEY_WITHDRAWN,
+
+    /** The request id was already recorded or cancelled. */
+    @SerialName("duplicate")
+    DUPLICATE,
+
+    /** The model or path is not served here. */
+    @SerialName("not_served")
+    NOT_SERVED,
+}
+
+/** A message between two processes of the system. */
+@Serializable
+public sealed interface Message {
+    /** Opens a connection. [nonce] is 32 random bytes that the peer's [Proof] covers. */
+    @Serializable
+    @SerialName("hi")
+    public data class Hello(
+        val version: Int,
+        val instance: InstanceId,
+        val incarnation: Incarnation,
+        val role: Role,
+        val dataCentre: DataCentre,
+        @ByteString val nonce: ByteArray,
+        val upstream: UpstreamName? = null,
+        val models: List<ModelName> = emptyList(),
+    ) : Message
+
+    /** HMAC-SHA256 by the shared secret over the roles and both nonces. */
+    @Serializable
+    @SerialName("proof")
+    public data class Proof(
+        @ByteString val mac: ByteArray,
+    ) : Message
+
+    /**
+     * Offers a request to an agent. [firstTokenBudgetMs] is what is left until the class's first-token target,
+     * [deadlineMs] what is left until the caller's deadline. With [displace], lower tiers may be evicted for it.
+     * [resumeOffset] is the number of stream events that the caller has already received.
+     */
+    @Serializable
+    @SerialName("submit")
+    public data class Submit(
+        val requestId: RequestId,
+        val attempt: Int,
+        val organisation: OrganisationId?,
+        val organisationWeight: Int,
+        val keyId: KeyId?,
+        val serviceClass: ClassName,
+        val tier: Int,
+        val classWeight: Int,
+        val firstTokenBudgetMs: Long,
+        val betweenTokensTargetMs: Long?,
+        val deadlineMs: Long,
+        val displace: Boolean,
+        val idempotent: Boolean,
+        val kind: CallKind,
+        val model: ModelName?,
+        val method: String,
+        val path: String,
+        val headers: List<Header>,
+        @ByteString val body: ByteArray,
+        val resumeOffset: Long = 0,
+    ) : Message
+
+    /** Gives up a request; the agent cancels it and refuses it if it arrives later. */
+    @Serializable
+    @SerialName("cancel")
+    public data class Cancel(
+        val requestId: RequestId,
+        val attempt: Int,
+    ) : Message
+
+    /** The agent has queued or started the request. */
+    @Serializable
+    @SerialName("accepted")
+    public data class Accepted(
+        val requestId: RequestId,
+        val attempt: Int,
+    ) : Message
+
+    /** The request has not run on this agent and will not. [retryAfterMs] is a predicted wait. */
+    @Serializable
+    @SerialName("notrun")
+    public data class NotRun(
+        val requestId: RequestId,
+        val attempt: Int,
+        val reason: NotRunReason,
+        val retryAfterMs: Long,
+    ) : Message
+
+    /** The upstream's answer has begun. */
+    @Serializable
+    @SerialName("started")
+    public data class Started(
+        val requestId: RequestId,
+        val attempt: Int,
+        val status: Int,
+        val headers: List<Header>,
+    ) : Message
+
+    /** Part of the answer; [offset] counts chunks from 0, and for chat streams the engine's event ids. */
+    @Serializable
+    @SerialName("chunk")
+    public data class Chunk(
+        val requestId: RequestId,
+        val attempt: Int,
+        val offset: Long,
+        @ByteString val bytes: ByteArray,
+    ) : Message
+
+    /** The whole answer was sent as [chunkCount] chunks, counted with those before a resume. */
+    @Serializable
+    @SerialName("finished")
+    public data class Finished(
+        val requestId: RequestId,
+        val attempt: Int,
+        val chunkCount: Long,
+        val usage: UsageRecord?,
+    ) : Message
+
+    /** The attempt ended without a whole answer. */
+    @Serializable
+    @SerialName("failed")
+    public data class Failed(
+        val requestId: RequestId,
+        val attempt: Int,
+        val runState: RunState,
+        val detail: String,
+        val usage: UsageRecord? = null,
+    ) : Message
+
+    /**
+     * State of one agent. [firstTokenEstimateMs] predicts the first token of a request of the lowest tier that arrives
+     * now. [lowestTier] is the lowest tier queued or running, null when idle. [flushedUsageSequence] is the last usage
+     * record of this connection's entry that is stored.
+     */
+    @Serializable
+    @SerialName("load")
+    public data class Load(
+        val running: Int,
+        val queued: Int,
+        val limit: Int,
+        val lowestTier: Int?,
+        val firstTokenEstimateMs: Long,
+        val flushedUsageSequence: Long,
+        val draining: Boolean,
+        val configVersion: Long,
+    ) : Message
+
+    /** Key ids that were withdrawn; running requests of these keys end. */
+    @Serializable
+    @SerialName("withdrawn")
+    public data class KeysWithdrawn(
+        val keyIds: List<KeyId>,
+    ) : Message
+
+    /** What the sender knows, so that a peer that lags asks for the rest. */
+    @Serializable
+    @SerialName("versions")
+    public data class Versions(
+        val configVersion: Long,
+        val withdrawalCount: Int,
+        val withdrawalDigest: Long,
+    ) : Message
+
+    /** Asks for the changes after [afterVersion], and for all withdrawn keys if [withdrawals]. */
+    @Serializable
+    @SerialName("config?")
+    public data class ConfigRequest(
+        val afterVersion: Long,
+        val withdrawals: Boolean,
+    ) : Message
+
+    /** Consecutive changes of the configuration. */
+    @Serializable
+    @SerialName("config")
+    public data class ConfigChanges(
+        val changes: List<ConfigChange>,
+    ) : Message
+
+    /** A whole configuration state as JSON, for a peer that lags behind the change log. */
+    @Serializable
+    @SerialName("snapshot")
+    public data class ConfigSnapshot(
+        @ByteString val stateJson: ByteArray,
+    ) : Message
+
+    /** The sender is leaving and takes no new work. */
+    @Serializable
+    @SerialName("bye")
+    public data object Goodbye : Message
+}
+
+/** One header of a passed-through call. */
+@Serializable
+public data class Header(
+    val name: String,
+    val value: String,
+)
+
+/**
+ * What one attempt used, in tokens (requests for plain services have 0). [sequence] counts the records that this agent
+ * incarnation produced for one entry incarnation, from 1.
+ */
+@Serializable
+public data class UsageRecord(
+    val sequence: Long,
+    val requestId: RequestId,
+    val organisation: OrganisationId?,
+    val serviceClass: ClassName,
+    val promptTokens: Long,
+    val completionTokens: Long,
+    val finishedAtMs: Long,
+)
