--- a/protocol/src/main/kotlin/io/teaselspring/protocol/Framing.kt
+++ b/protocol/src/main/kotlin/io/teaselspring/protocol/Framing.kt
@@ -58,18 +58,21 @@
     flush()
 }
 
+/** Writes [frame], an encoded message, with its length and without flushing. */
+public suspend fun ByteWriteChannel.writeFrame(frame: ByteArray) {
+    require(frame.size <= MAX_FRAME_BYTES) { "message of ${frame.size} bytes exceeds $MAX_FRAME_BYTES" }
+    writeInt(frame.size)
+    writeFully(frame)
+}
+
 /**
- * Reads one frame.
+ * Reads one frame of at most [maxBytes].
  *
  * @throws ProtocolException if the length is out of range or the content is not a message.
  * @throws java.io.IOException if the connection ends, between frames or within one.
  */
-public suspend fun ByteReadChannel.readMessage(): Message {
+public suspend fun ByteReadChannel.readMessage(maxBytes: Int = MAX_FRAME_BYTES): Message {
     val lengthBytes = readInt()
-    if (lengthBytes !in
-        1..MAX_FRAME_BYTES
-    ) {
-        throw ProtocolException("frame length $lengthBytes outside 1..$MAX_FRAME_BYTES")
-    }
+    if (lengthBytes !in 1..maxBytes) throw ProtocolException("frame length $lengthBytes outside 1..$maxBytes")
     return decodeMessage(readByteArray(lengthBytes))
 }
