Decide admission, dispatch and choice by tier, class, organisation and load

Cause: the first versions of the state machines served one queue by tier and knew nothing of deadlines, organisations, preemption or proof of not run.

Change: the scheduler has strict tiers, classes by weight and first-token deadline, organisations by virtual token counters, early refusal with a wait predicted from running work and learned service times, a batch limit by additive increase and multiplicative decrease, eviction and preemption of strictly lower tiers, a floor share, expiry, cancellation, withdrawn keys and a record of attempt ids. Dispatch never claims "not run" after an attempt that may have run and names the shortest wait that agents predicted. Choice has prefix affinity under a load bound, straggler detection with probes, and a subset per entry. Retries have a budget of their own.

Additions to the signatures: Ended.completed (default false), SchedulerPolicy.recordKeepMs, ChoiceRequest.displace, StragglerDetector, agentSubset, RetryBudget. An attempt occupies its slot after a Stop until the agent sends Ended.

Ruled out: counting every queued request that misses its deadline anyway as hurt by a floor start; under sustained overload the lowest class then got 0 starts. A release rate from the slots taken at the moment of a release underestimated the rate by a quarter with four slots, with the same effect.

--- a/core/src/main/kotlin/io/teaselspring/core/admission/AgentScheduler.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/admission/AgentScheduler.kt
@@ -1,205 +1,340 @@
 /*
  * Admission, order, load shedding and preemption on one upstream. The scheduler is a deterministic state machine: the
  * agent feeds it events with the current monotonic time and carries out the actions it returns. It does no I/O.
+ *
+ * Tiers are strict. Inside a tier classes share by weight and first-token deadline, inside a class organisations by
+ * virtual token counters. A request whose predicted wait misses its first-token deadline is refused at once.
  */
 package io.teaselspring.core.admission
 
-import io.teaselspring.core.ClassName
 import io.teaselspring.core.KeyId
-import io.teaselspring.core.OrganisationId
-import io.teaselspring.core.RequestId
-
-/** One attempt of a request, as an agent knows it. */
-public data class AttemptId(
-    val requestId: RequestId,
-    val attempt: Int,
-)
-
-/**
- * A request offered to an agent. [firstTokenDeadlineMs] and [deadlineMs] are on the clock that is passed to
- * [AgentScheduler.step]. A request that is not [preemptible] is never stopped for another one.
- */
-public data class OfferedRequest(
-    val id: AttemptId,
-    val organisation: OrganisationId?,
-    val organisationWeight: Int,
-    val keyId: KeyId?,
-    val serviceClass: ClassName,
-    val tier: Int,
-    val classWeight: Int,
-    val firstTokenDeadlineMs: Long,
-    val betweenTokensTargetMs: Long?,
-    val deadlineMs: Long,
-    val displace: Boolean,
-    val preemptible: Boolean,
-)
-
-/** What happened on the upstream or on a link. */
-public sealed interface SchedulerEvent {
-    /** An entry offers a request. */
-    public data class Offered(
-        val request: OfferedRequest,
-    ) : SchedulerEvent
-
-    /** The entry gave the attempt up. */
-    public data class Cancelled(
-        val id: AttemptId,
-    ) : SchedulerEvent
-
-    /** A running attempt produced [count] more tokens. */
-    public data class TokensProduced(
-        val id: AttemptId,
-        val count: Int,
-    ) : SchedulerEvent
-
-    /** A started attempt no longer occupies the upstream, for whatever reason. */
-    public data class Ended(
-        val id: AttemptId,
-    ) : SchedulerEvent
-
-    /** Keys were withdrawn; their queued and running requests end. */
-    public data class KeysWithdrawn(
-        val keyIds: Set<KeyId>,
-    ) : SchedulerEvent
-
-    /** The upstream became reachable or unreachable. */
-    public data class UpstreamReachable(
-        val reachable: Boolean,
-    ) : SchedulerEvent
-
-    /** The agent drains: nothing new is accepted, accepted work finishes. */
-    public data object DrainStarted : SchedulerEvent
-
-    /** Time has passed. The agent sends one at least every 50 ms while it has work. */
-    public data object Tick : SchedulerEvent
-}
-
-/** Why an offered or queued request does not run. */
-public enum class RefusalReason {
-    TOO_LATE,
-    QUEUE_FULL,
-    DISPLACED,
-    DRAINING,
-    UPSTREAM_DOWN,
-    KEY_WITHDRAWN,
-    DUPLICATE,
-    EXPIRED,
-}
-
-/** Why a running attempt is stopped. */
-public enum class StopCause { PREEMPTED, CANCELLED, EXPIRED, KEY_WITHDRAWN }
-
-/** What the agent must do next, in order. */
-public sealed interface SchedulerAction {
-    /** Tell the entry that the request is queued or starts. */
-    public data class Accept(
-        val id: AttemptId,
-    ) : SchedulerAction
-
-    /** Tell the entry that the attempt has not run and will not; [retryAfterMs] is the predicted wait. */
-    public data class Refuse(
-        val id: AttemptId,
-        val reason: RefusalReason,
-        val retryAfterMs: Long,
-    ) : SchedulerAction
-
-    /** Start the attempt on the upstream, or resume it if it was preempted. */
-    public data class Start(
-        val id: AttemptId,
-    ) : SchedulerAction
-
-    /** Stop the attempt on the upstream. After PREEMPTED it is queued again and resumes later; else it is over. */
-    public data class Stop(
-        val id: AttemptId,
-        val cause: StopCause,
-    ) : SchedulerAction
-}
-
-/** Load of one upstream at one moment, as reported to entries. */
-public data class SchedulerLoad(
-    val running: Int,
-    val queued: Int,
-    val limit: Int,
-    val lowestTier: Int?,
-    val firstTokenEstimateMs: Long,
-    val draining: Boolean,
-)
-
-/**
- * Settings of the scheduler. [maxRunning] is the largest batch the upstream is given and [maxQueued] the largest queue.
- * [floorSharePct] is the share of starts that the lowest waiting classes get when no higher tier is hurt by it.
- */
-public data class SchedulerPolicy(
-    val maxRunning: Int,
-    val maxQueued: Int = 256,
-    val floorSharePct: Int = 5,
-)
+import java.util.TreeSet
 
 /** The scheduler of one agent. Not thread-safe: the agent calls it from one coroutine. */
 public class AgentScheduler(
     private val policy: SchedulerPolicy,
 ) {
-    private val queue = mutableListOf<OfferedRequest>()
-    private val running = linkedMapOf<AttemptId, OfferedRequest>()
+    private val classes = ClassShares()
+    private val prediction = WaitPrediction(classes, policy.floorSharePct)
+    private val floor = FloorCredit(policy.floorSharePct)
+    private val limit = BatchLimit(policy.maxRunning)
+    private val record = AttemptRecord(policy.recordKeepMs)
+    private val attempts = HashMap<AttemptId, Attempt>()
+    private val running = LinkedHashMap<AttemptId, Attempt>()
+    private val byDeadline = TreeSet(compareBy<Attempt>({ it.request.deadlineMs }, { it.sequence }))
+    private val withdrawnKeys = HashSet<KeyId>()
+    private var arrivals = 0L
     private var draining = false
+    private var reachable = true
 
     /** Applies [event] at [nowMs], which never goes back, and returns what to do. */
     public fun step(
         event: SchedulerEvent,
         nowMs: Long,
-    ): List<SchedulerAction> =
+    ): List<SchedulerAction> {
+        val actions = mutableListOf<SchedulerAction>()
+        expire(nowMs, actions)
         when (event) {
-            is SchedulerEvent.Offered -> offer(event.request)
-            is SchedulerEvent.Cancelled -> cancel(event.id)
-            is SchedulerEvent.Ended -> end(event.id)
-            is SchedulerEvent.DrainStarted -> emptyList<SchedulerAction>().also { draining = true }
-            else -> expire(nowMs)
+            is SchedulerEvent.Offered -> offer(event.request, nowMs, actions)
+            is SchedulerEvent.Cancelled -> cancel(event.id, nowMs, actions)
+            is SchedulerEvent.TokensProduced -> produced(event, nowMs)
+            is SchedulerEvent.Ended -> end(event, nowMs)
+            is SchedulerEvent.KeysWithdrawn -> withdraw(event.keyIds, nowMs, actions)
+            is SchedulerEvent.UpstreamReachable -> changeReachable(event.reachable, nowMs, actions)
+            SchedulerEvent.DrainStarted -> draining = true
+            SchedulerEvent.Tick -> refuseLate(nowMs, actions)
         }
+        fill(nowMs, actions)
+        return actions
+    }
 
     /** The load at [nowMs]. */
-    public fun load(nowMs: Long): SchedulerLoad =
-        SchedulerLoad(
+    public fun load(nowMs: Long): SchedulerLoad {
+        val lowestTier = classes.lowestTier
+        val wait = prediction.waitBehind(classes.queued, lowestTier ?: 1, freeSlots(), nowMs)
+        val firstToken = lowestTier?.let { tier -> classes.tiers.getValue(tier).maxOf { it.times.firstTokenMs(nowMs) } }
+        return SchedulerLoad(
             running = running.size,
-            queued = queue.size,
-            limit = policy.maxRunning,
-            lowestTier = (queue + running.values).maxOfOrNull { it.tier },
-            firstTokenEstimateMs = (queue.maxOfOrNull { it.firstTokenDeadlineMs } ?: nowMs) - nowMs,
+            queued = classes.queued,
+            limit = limit.value,
+            lowestTier = lowestTier,
+            firstTokenEstimateMs = (wait.meanMs + (firstToken ?: 0.0)).toLong(),
             draining = draining,
         )
+    }
 
-    private fun offer(request: OfferedRequest): List<SchedulerAction> =
+    private fun freeSlots() = limit.value - running.size
+
+    private fun offer(
+        request: OfferedRequest,
+        nowMs: Long,
+        actions: MutableList<SchedulerAction>,
+    ) {
+        val reason = refusalOf(request, nowMs)
+        if (reason != null) {
+            actions += SchedulerAction.Refuse(request.id, reason, SETTLED_RETRY_AFTER_MS)
+            return
+        }
+        val share = classes.activate(request)
+        val wait = prediction.waitOf(request, share, freeSlots(), nowMs)
+        val late = missesTarget(request, share, wait, nowMs)
+        val full = classes.queued >= policy.maxQueued && wait.releases > 0
+        val victims = if (late && request.displace) victimsFor(request, share, nowMs) else emptyList()
+        val evicted = if (full && request.displace) evictable(classes, request.tier) else null
         when {
-            draining -> listOf(SchedulerAction.Refuse(request.id, RefusalReason.DRAINING, 0))
-            queue.size >= policy.maxQueued -> listOf(SchedulerAction.Refuse(request.id, RefusalReason.QUEUE_FULL, 1000))
+            late && victims.isEmpty() -> refuse(request, RefusalReason.TOO_LATE, share, wait, nowMs, actions)
+            full && evicted == null && victims.size < wait.releases ->
+                refuse(request, RefusalReason.QUEUE_FULL, share, wait, nowMs, actions)
             else -> {
-                queue += request
-                listOf(SchedulerAction.Accept(request.id)) + fill()
+                evicted?.let { drop(it, RefusalReason.DISPLACED, nowMs, actions) }
+                victims.forEach { stop(it, StopCause.PREEMPTED, actions) }
+                accept(request, share, actions)
             }
         }
+    }
 
-    private fun cancel(id: AttemptId): List<SchedulerAction> {
-        queue.removeAll { it.id == id }
-        return if (id in running) listOf(SchedulerAction.Stop(id, StopCause.CANCELLED)) else emptyList()
+    private fun refusalOf(
+        request: OfferedRequest,
+        nowMs: Long,
+    ): RefusalReason? =
+        when {
+            !record.add(request.id, nowMs) -> RefusalReason.DUPLICATE
+            request.keyId != null && request.keyId in withdrawnKeys -> RefusalReason.KEY_WITHDRAWN
+            request.deadlineMs <= nowMs -> RefusalReason.EXPIRED
+            draining -> RefusalReason.DRAINING
+            !reachable -> RefusalReason.UPSTREAM_DOWN
+            else -> null
+        }
+
+    /**
+     * A request that starts at once is late only by the learned time to the first token; with displace every agent has
+     * refused already, so it is taken.
+     */
+    private fun missesTarget(
+        request: OfferedRequest,
+        share: ClassShare,
+        wait: Wait,
+        nowMs: Long,
+    ): Boolean {
+        if (wait.releases == 0 && request.displace) return false
+        return nowMs + wait.cautiousMs + share.times.firstTokenMs(nowMs) > request.firstTokenDeadlineMs
     }
 
-    private fun end(id: AttemptId): List<SchedulerAction> {
-        running.remove(id)
-        return fill()
+    /** The fewest running attempts whose preemption lets [request] meet its target; empty when that is impossible. */
+    private fun victimsFor(
+        request: OfferedRequest,
+        share: ClassShare,
+        nowMs: Long,
+    ): List<Attempt> {
+        val candidates = preemptable(running.values, request.tier)
+        val ahead = prediction.startsAhead(request, share)
+        for (count in 1..candidates.size) {
+            val wait = prediction.waitBehind(ahead, share.tier, freeSlots() + count + stoppingForPreemption(), nowMs)
+            if (!missesTarget(request, share, wait, nowMs)) return candidates.take(count)
+        }
+        return emptyList()
+    }
+
+    private fun stoppingForPreemption() = running.values.count { it.stopCause == StopCause.PREEMPTED }
+
+    private fun refuse(
+        request: OfferedRequest,
+        reason: RefusalReason,
+        share: ClassShare,
+        wait: Wait,
+        nowMs: Long,
+        actions: MutableList<SchedulerAction>,
+    ) {
+        val retryAfterMs = wait.meanMs + share.times.firstTokenMs(nowMs)
+        actions += SchedulerAction.Refuse(request.id, reason, maxOf(0L, retryAfterMs.toLong()))
+    }
+
+    private fun accept(
+        request: OfferedRequest,
+        share: ClassShare,
+        actions: MutableList<SchedulerAction>,
+    ) {
+        val attempt = Attempt(request, arrivals++, share)
+        attempts[request.id] = attempt
+        byDeadline += attempt
+        share.enqueue(attempt)
+        actions += SchedulerAction.Accept(request.id)
+    }
+
+    private fun cancel(
+        id: AttemptId,
+        nowMs: Long,
+        actions: MutableList<SchedulerAction>,
+    ) {
+        record.add(id, nowMs)
+        val attempt = attempts[id] ?: return
+        if (attempt.phase == Phase.QUEUED &&
+            !attempt.started
+        ) {
+            forget(attempt)
+        } else {
+            stop(attempt, StopCause.CANCELLED, actions)
+        }
     }
 
-    private fun expire(nowMs: Long): List<SchedulerAction> {
-        val late = queue.filter { it.deadlineMs <= nowMs }
-        queue.removeAll(late)
-        return late.map { SchedulerAction.Refuse(it.id, RefusalReason.EXPIRED, 0) } + fill()
+    private fun produced(
+        event: SchedulerEvent.TokensProduced,
+        nowMs: Long,
+    ) {
+        val attempt = running[event.id] ?: return
+        if (event.count <= 0) return
+        val last = attempt.lastTokenAtMs
+        if (last == null) {
+            if (attempt.producedTokens == 0L) attempt.share.times.firstToken(nowMs - attempt.startedAtMs, nowMs)
+        } else {
+            val intervalMs = (nowMs - last).toDouble() / event.count
+            limit.observe(intervalMs, attempt.request.betweenTokensTargetMs, event.count, running.size, nowMs)
+        }
+        attempt.lastTokenAtMs = nowMs
+        attempt.share.produced(attempt, event.count)
     }
 
-    private fun fill(): List<SchedulerAction> =
-        buildList {
-            while (running.size < policy.maxRunning && queue.isNotEmpty()) {
-                val next = queue.minBy { it.tier }
-                queue.remove(next)
-                running[next.id] = next
-                add(SchedulerAction.Start(next.id))
+    private fun end(
+        event: SchedulerEvent.Ended,
+        nowMs: Long,
+    ) {
+        val attempt = running.remove(event.id) ?: return
+        val resumes = attempt.stopCause == StopCause.PREEMPTED && !event.completed
+        attempt.share.release(attempt, nowMs, completed = event.completed || attempt.stopCause == null)
+        attempt.stopCause = null
+        if (resumes) attempt.share.enqueue(attempt) else forget(attempt)
+    }
+
+    private fun withdraw(
+        keyIds: Set<KeyId>,
+        nowMs: Long,
+        actions: MutableList<SchedulerAction>,
+    ) {
+        withdrawnKeys += keyIds
+        for (attempt in attempts.values.filter { it.request.keyId in keyIds }.sortedBy { it.sequence }) {
+            end(attempt, RefusalReason.KEY_WITHDRAWN, StopCause.KEY_WITHDRAWN, nowMs, actions)
+        }
+    }
+
+    private fun changeReachable(
+        nowReachable: Boolean,
+        nowMs: Long,
+        actions: MutableList<SchedulerAction>,
+    ) {
+        reachable = nowReachable
+        if (nowReachable) return
+        for (attempt in attempts.values.filter { it.phase == Phase.QUEUED }.sortedBy { it.sequence }) {
+            // The start of a preempted attempt fails, so the entry learns of it and resumes the stream elsewhere.
+            if (attempt.started) {
+                start(
+                    attempt,
+                    nowMs,
+                    actions,
+                )
+            } else {
+                drop(attempt, RefusalReason.UPSTREAM_DOWN, nowMs, actions)
+            }
+        }
+    }
+
+    private fun expire(
+        nowMs: Long,
+        actions: MutableList<SchedulerAction>,
+    ) {
+        while (byDeadline.isNotEmpty() && byDeadline.first().request.deadlineMs <= nowMs) {
+            end(byDeadline.first(), RefusalReason.EXPIRED, StopCause.EXPIRED, nowMs, actions)
+        }
+    }
+
+    /** Ends [attempt] with a refusal if it has never run, and with a stop otherwise. */
+    private fun end(
+        attempt: Attempt,
+        reason: RefusalReason,
+        cause: StopCause,
+        nowMs: Long,
+        actions: MutableList<SchedulerAction>,
+    ) {
+        byDeadline.remove(attempt)
+        if (attempt.started) stop(attempt, cause, actions) else drop(attempt, reason, nowMs, actions)
+    }
+
+    /** Refuses queued work that cannot meet its first-token target even if it started now. */
+    private fun refuseLate(
+        nowMs: Long,
+        actions: MutableList<SchedulerAction>,
+    ) {
+        if (freeSlots() > 0) return
+        for (share in classes.all()) {
+            while (share.fresh.isNotEmpty() && isLate(share.fresh.first(), nowMs)) {
+                drop(share.fresh.first(), RefusalReason.TOO_LATE, nowMs, actions)
+            }
+        }
+    }
+
+    private fun isLate(
+        attempt: Attempt,
+        nowMs: Long,
+    ) = nowMs + attempt.share.times.firstTokenMs(nowMs) > attempt.request.firstTokenDeadlineMs
+
+    /** Refuses a queued attempt that has never started. */
+    private fun drop(
+        attempt: Attempt,
+        reason: RefusalReason,
+        nowMs: Long,
+        actions: MutableList<SchedulerAction>,
+    ) {
+        forget(attempt)
+        val wait = prediction.waitOf(attempt.request, attempt.share, freeSlots(), nowMs)
+        refuse(attempt.request, reason, attempt.share, wait, nowMs, actions)
+    }
+
+    private fun forget(attempt: Attempt) {
+        if (attempt.phase == Phase.QUEUED) attempt.share.dequeue(attempt)
+        attempts.remove(attempt.request.id)
+        byDeadline.remove(attempt)
+    }
+
+    private fun stop(
+        attempt: Attempt,
+        cause: StopCause,
+        actions: MutableList<SchedulerAction>,
+    ) {
+        val preemptedBefore = attempt.stopCause == StopCause.PREEMPTED
+        if (attempt.phase == Phase.STOPPING && !preemptedBefore) return
+        attempt.stopCause = cause
+        actions += SchedulerAction.Stop(attempt.request.id, cause)
+        if (attempt.phase == Phase.QUEUED) forget(attempt) else attempt.phase = Phase.STOPPING
+    }
+
+    private fun fill(
+        nowMs: Long,
+        actions: MutableList<SchedulerAction>,
+    ) {
+        while (reachable && freeSlots() > 0) {
+            val highest = classes.highestWaitingTier() ?: return
+            val byCredit = floor.tierByCredit(classes, prediction, freeSlots(), nowMs)
+            val next = classes.nextIn(byCredit ?: highest)?.head() ?: return
+            if (!next.started && isLate(next, nowMs) && !isLate(next.share.fresh.last(), nowMs)) {
+                drop(next, RefusalReason.TOO_LATE, nowMs, actions)
+                continue
             }
+            if (byCredit != null) floor.spend() else floor.started(next.request.tier, classes.lowestWaitingTier())
+            start(next, nowMs, actions)
         }
+    }
+
+    private fun start(
+        attempt: Attempt,
+        nowMs: Long,
+        actions: MutableList<SchedulerAction>,
+    ) {
+        attempt.share.start(attempt, nowMs)
+        running[attempt.request.id] = attempt
+        actions += SchedulerAction.Start(attempt.request.id)
+    }
+
+    private companion object {
+        /** Wait named in refusals that no capacity on this agent would change. */
+        const val SETTLED_RETRY_AFTER_MS = 1000L
+    }
 }
--- a/core/src/main/kotlin/io/teaselspring/core/choice/UpstreamChooser.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/choice/UpstreamChooser.kt
@@ -1,5 +1,7 @@
 /*
- * Choice of the agent for an offer: what an entry knows about each agent, and the rule that picks one.
+ * Choice of the agent for an offer: two random candidates, the one with the lower cost wins, unless the agent whose
+ * prefix cache is warm for the prompt can take it without exceeding a load bound. Reports are stale, so taking the
+ * least loaded agent would make all entries choose the same one.
  */
 package io.teaselspring.core.choice
 
@@ -8,37 +10,22 @@
 import io.teaselspring.core.ModelName
 import io.teaselspring.core.UpstreamName
 
-/** What an entry knows about one agent. Times are on the entry's monotonic clock, in milliseconds. */
-public data class AgentView(
-    val instance: InstanceId,
-    val dataCentre: DataCentre,
-    val upstream: UpstreamName,
-    val models: Set<ModelName>,
-    val connected: Boolean = false,
-    val draining: Boolean = false,
-    val running: Int = 0,
-    val queued: Int = 0,
-    val limit: Int = 1,
-    val lowestTier: Int? = null,
-    val firstTokenEstimateMs: Long = 0,
-    val reportedAtMs: Long = 0,
-    val sentSinceReport: Int = 0,
-    val firstTokenAverageMs: Double? = null,
-    val betweenTokensAverageMs: Double? = null,
-    val avoidUntilMs: Long = 0,
-)
-
-/** What a request needs from an agent. [prefixHash] identifies the start of the prompt for prefix-cache affinity. */
+/**
+ * What a request needs from an agent. [prefixHash] identifies the start of the prompt for prefix-cache affinity. With
+ * [displace], agents that have work of a lower tier come first.
+ */
 public data class ChoiceRequest(
     val upstream: UpstreamName,
     val model: ModelName?,
     val tier: Int,
     val prefixHash: Long? = null,
+    val displace: Boolean = false,
 )
 
 /**
- * Picks the agent for the next offer, or null when no eligible agent is left outside [tried]. [random] returns a
- * uniformly distributed integer below its argument.
+ * Picks the agent for the next offer, or null when no eligible agent is left outside [tried]. Agents without a
+ * connection are eligible only when there is none with one. [random] returns a uniformly distributed integer below its
+ * argument.
  */
 public fun chooseAgent(
     agents: Collection<AgentView>,
@@ -48,22 +35,58 @@
     nowMs: Long,
     random: (Int) -> Int,
 ): InstanceId? {
-    val eligible = agents.filter { it.serves(request) && it.instance !in tried }
-    if (eligible.isEmpty()) return null
-    val first = eligible[random(eligible.size)]
-    val second = eligible[random(eligible.size)]
-    return if (first.cost(home, nowMs) <= second.cost(home, nowMs)) first.instance else second.instance
+    val serving = agents.filter { it.serves(request) }
+    val pool = serving.filter { it.connected }.ifEmpty { serving }
+    val untried = pool.filter { it.instance !in tried }
+    val eligible = if (request.displace) untried.displaceable(request.tier, nowMs) else untried
+    val candidates = eligible.filter { nowMs >= it.avoidUntilMs }.ifEmpty { eligible }
+    if (candidates.size <= 1) return candidates.firstOrNull()?.instance
+    val affine = request.prefixHash?.let { affineAgent(candidates, it) }
+    return (affine ?: candidates.betterOfTwo(pool, home, random)).instance
 }
 
 private fun AgentView.serves(request: ChoiceRequest) =
     upstream == request.upstream && !draining && (request.model == null || request.model in models)
 
+/**
+ * Agents on which a request of [tier] may displace something: those known to have work of a lower tier, otherwise those
+ * of which nothing else is known for certain because their report is old or they have room.
+ */
+private fun List<AgentView>.displaceable(
+    tier: Int,
+    nowMs: Long,
+): List<AgentView> =
+    filter { (it.lowestTier ?: 0) > tier }
+        .ifEmpty { filter { it.running < it.limit || nowMs - it.reportedAtMs > FRESH_REPORT_MS } }
+
+private fun List<AgentView>.betterOfTwo(
+    pool: List<AgentView>,
+    home: DataCentre,
+    random: (Int) -> Int,
+): AgentView {
+    val firstIndex = random(size)
+    val secondIndex = (firstIndex + 1 + random(size - 1)) % size
+    val speeds = PeerSpeeds(pool)
+    val first = this[firstIndex]
+    val second = this[secondIndex]
+    return if (first.cost(home, speeds) <= second.cost(home, speeds)) first else second
+}
+
 private fun AgentView.cost(
     home: DataCentre,
-    nowMs: Long,
+    speeds: PeerSpeeds,
 ): Double {
-    val load = (running + queued + sentSinceReport + 1).toDouble() / limit
-    val distance = if (dataCentre == home) 0.0 else 0.1
-    val avoid = if (nowMs < avoidUntilMs) 100.0 else 0.0
-    return load + distance + avoid
+    val distance = if (dataCentre == home) 0.0 else REMOTE_COST
+    // Once its time of avoidance is over, an agent counts as healthy, so that it gets a request that probes it.
+    val slowness = if (avoidUntilMs > 0) 1.0 else speeds.slowness(this)
+    return work(1) / maxOf(1, limit) * slowness + distance
 }
+
+/** Requests that the agent has, with those sent since its report and [more]. */
+internal fun AgentView.work(more: Int): Double = (running + queued + sentSinceReport + more).toDouble()
+
+/** Cost of an agent in another data centre, in full batches: small, so that load outweighs distance soon. */
+private const val REMOTE_COST = 0.1
+
+/** Reports younger than this are believed when they say that an agent has nothing to displace. */
+private const val FRESH_REPORT_MS = 1000L
--- /dev/null
+++ b/core/src/test/kotlin/io/teaselspring/core/admission/AgentSchedulerTest.kt
@@ -0,0 +1,104 @@
+package io.teaselspring.core.admission
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.longs.shouldBeInRange
+import io.kotest.matchers.shouldBe
+import io.teaselspring.core.KeyId
+
+class AgentSchedulerTest :
+    FunSpec({
+        fun upstream(
+            maxRunning: Int = 1,
+            tokens: Int = 10,
+            maxQueued: Int = 256,
+        ) = FakeUpstream(SchedulerPolicy(maxRunning, maxQueued)) { tokens }
+
+        // Guards against requests that wait for a target which they cannot meet any more.
+        test("refuses at once with the predicted wait when the queue would miss the first-token target") {
+            val upstream = upstream()
+            upstream.offer(offered(1))
+            repeat(10) { upstream.advance() }
+            repeat(6) { upstream.offer(offered(2 + it)) }
+            val refused = upstream.offer(offered(20, firstTokenDeadlineMs = upstream.nowMs + 300)).single()
+            (refused as SchedulerAction.Refuse).reason shouldBe RefusalReason.TOO_LATE
+            // Six requests of 100 ms are ahead, one of them running, and the first token takes 10 ms.
+            refused.retryAfterMs shouldBeInRange 550L..650L
+        }
+
+        // Guards against preempted work that loses its place or does not resume.
+        test("a preempted attempt keeps its place before younger work of its class and resumes") {
+            val upstream = upstream()
+            upstream.offer(offered(1, tier = 2))
+            upstream.offer(offered(2, tier = 2))
+            repeat(3) { upstream.advance() }
+            val urgent = offered(3, tier = 1, firstTokenDeadlineMs = upstream.nowMs + 20, displace = true)
+            upstream.offer(urgent) shouldContain SchedulerAction.Stop(offered(1).id, StopCause.PREEMPTED)
+            repeat(40) { upstream.advance() }
+            upstream.starts.map { it.requestId.value } shouldContainExactly listOf("r1", "r3", "r1", "r2")
+        }
+
+        // Guards against a second run after a stop that crossed with the end of the attempt.
+        test("an attempt that completed while its preemption was on the way is not queued again") {
+            val scheduler = AgentScheduler(SchedulerPolicy(1))
+            scheduler.step(SchedulerEvent.Offered(offered(1, tier = 2)), 0)
+            scheduler.step(SchedulerEvent.Offered(offered(2, displace = true, firstTokenDeadlineMs = 100)), 0)
+            scheduler.step(SchedulerEvent.Ended(offered(1).id, completed = true), 1) shouldContainExactly
+                listOf(SchedulerAction.Start(offered(2).id))
+            scheduler.step(SchedulerEvent.Ended(offered(2).id), 2) shouldBe emptyList()
+        }
+
+        // Guards against an attempt that runs although its caller left before it arrived.
+        test("refuses an attempt whose cancellation arrived first") {
+            val upstream = upstream()
+            upstream.apply(SchedulerEvent.Cancelled(offered(1).id))
+            upstream.offer(offered(1)).single() shouldBe
+                SchedulerAction.Refuse(offered(1).id, RefusalReason.DUPLICATE, 1000)
+        }
+
+        // Guards against a full queue of low tiers that keeps a higher tier out (I1).
+        test("evicts queued work of a lower tier from a full queue, only with displace") {
+            val upstream = upstream(maxQueued = 2)
+            upstream.offer(offered(1, tier = 3).copy(preemptible = false))
+            upstream.offer(offered(2, tier = 3))
+            upstream.offer(offered(3, tier = 2))
+            (upstream.offer(offered(4)).single() as SchedulerAction.Refuse).reason shouldBe RefusalReason.QUEUE_FULL
+            val actions = upstream.offer(offered(5, displace = true))
+            (actions.first() as SchedulerAction.Refuse).let { it.id to it.reason } shouldBe
+                (offered(2).id to RefusalReason.DISPLACED)
+            actions.last() shouldBe SchedulerAction.Accept(offered(5).id)
+        }
+
+        // Guards against work that goes on for a withdrawn key (I5).
+        test("a withdrawn key ends queued and running work and refuses what arrives later") {
+            val upstream = upstream()
+            upstream.offer(offered(1))
+            upstream.offer(offered(2))
+            val actions = upstream.apply(SchedulerEvent.KeysWithdrawn(setOf(KeyId("key-a"))))
+            actions.first() shouldBe SchedulerAction.Stop(offered(1).id, StopCause.KEY_WITHDRAWN)
+            (actions.last() as SchedulerAction.Refuse).reason shouldBe RefusalReason.KEY_WITHDRAWN
+            (upstream.offer(offered(3)).single() as SchedulerAction.Refuse).reason shouldBe RefusalReason.KEY_WITHDRAWN
+        }
+
+        // Guards against requests that are held while their upstream does not answer.
+        test("an unreachable upstream refuses what is queued and what arrives") {
+            val upstream = upstream()
+            upstream.offer(offered(1))
+            upstream.offer(offered(2))
+            (upstream.apply(SchedulerEvent.UpstreamReachable(false)).single() as SchedulerAction.Refuse).reason shouldBe
+                RefusalReason.UPSTREAM_DOWN
+            (upstream.offer(offered(3)).single() as SchedulerAction.Refuse).reason shouldBe RefusalReason.UPSTREAM_DOWN
+        }
+
+        // Guards against a batch that stays too large for the between-tokens target, and one that never grows again.
+        test("the batch limit falls when intervals exceed the target and rises when they hold") {
+            val limit = BatchLimit(32)
+            (1..20L).forEach { limit.observe(60.0, 35, 8, limit.value, it * 250) }
+            val low = limit.value
+            low shouldBeLessThan 5
+            (21..60L).forEach { limit.observe(20.0, 35, 8, 32, it * 250) }
+            limit.value shouldBe 32
+        }
+    })
--- /dev/null
+++ b/core/src/test/kotlin/io/teaselspring/core/choice/UpstreamChooserTest.kt
@@ -0,0 +1,154 @@
+package io.teaselspring.core.choice
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContainAll
+import io.kotest.matchers.comparables.shouldBeGreaterThan
+import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
+import io.kotest.matchers.ints.shouldBeInRange
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.checkAll
+import io.teaselspring.core.DataCentre
+import io.teaselspring.core.InstanceId
+import io.teaselspring.core.ModelName
+import io.teaselspring.core.UpstreamName
+import kotlin.random.Random
+
+private val home = DataCentre("north")
+private val model = ModelName("m")
+private val request = ChoiceRequest(UpstreamName("llm"), model, tier = 1)
+
+private fun agent(
+    index: Int,
+    dataCentre: String = "north",
+) = AgentView(
+    InstanceId("i$index"),
+    DataCentre(dataCentre),
+    request.upstream,
+    setOf(model),
+    connected = true,
+    limit = 10,
+)
+
+private fun choose(
+    agents: List<AgentView>,
+    request: ChoiceRequest,
+    random: Random,
+    tried: Set<InstanceId> = emptySet(),
+) = chooseAgent(agents, request, home, tried, 10_000, random::nextInt)
+
+class UpstreamChooserTest :
+    FunSpec({
+        // Guards against one popular prompt prefix that overloads the agent it hashes to.
+        test("prefix affinity keeps a prefix on one agent, and no agent far above the mean load") {
+            checkAll(PropTestConfig(seed = 3, iterations = 50), Arb.int()) { seed ->
+                val random = Random(seed)
+                val agents = MutableList(6) { agent(it) }
+                val popular = request.copy(prefixHash = seed.toLong())
+                choose(agents, popular, random) shouldBe choose(agents, popular, random)
+                repeat(120) {
+                    val instance = choose(agents, popular, random)
+                    val chosen = agents.indexOfFirst { it.instance == instance }
+                    agents[chosen] = agents[chosen].let { it.copy(sentSinceReport = it.sentSinceReport + 1) }
+                }
+                agents.maxOf { it.sentSinceReport } shouldBeLessThanOrEqualTo 26
+            }
+        }
+
+        // Guards against a slow engine that keeps receiving its share because its reported load looks normal, and
+        // against one that recovered but is never used again.
+        test("a straggler is avoided, probed once, and used again when the probe is fast") {
+            val detector = StragglerDetector(avoidMs = 5_000)
+            val views = List(5) { agent(it) }
+            repeat(20) {
+                views.forEach {
+                    detector.firstToken(
+                        it.instance,
+                        if (it ===
+                            views[0]
+                        ) {
+                            900.0
+                        } else {
+                            100.0
+                        },
+                        5_000,
+                    )
+                }
+            }
+            val random = Random(1)
+
+            fun chosen() =
+                List(200) { choose(views.map(detector::apply), request, random) }.count {
+                    it ==
+                        views[0].instance
+                }
+            detector.firstToken(views[0].instance, 900.0, 6_000)
+            detector.apply(views[0]).avoidUntilMs shouldBe 10_000
+            chosen() shouldBeGreaterThan 0
+            detector.offered(views[0].instance, 10_000)
+            chosen() shouldBe 0
+            detector.firstToken(views[0].instance, 100.0, 10_500)
+            detector.apply(views[0]).avoidUntilMs shouldBe 0
+        }
+
+        // Guards against a displacing offer to an agent on which nothing can give way while another has work of a
+        // lower tier.
+        test("a displacing offer goes to an agent with work of a lower tier") {
+            val agents =
+                List(6) {
+                    agent(it).copy(
+                        lowestTier =
+                            if (it ==
+                                4
+                            ) {
+                                3
+                            } else {
+                                1
+                            },
+                        running = 10,
+                        reportedAtMs = 9_900,
+                    )
+                }
+            choose(agents, request.copy(displace = true), Random(1)) shouldBe InstanceId("i4")
+            choose(agents, request.copy(displace = true), Random(1), setOf(InstanceId("i4"))) shouldBe null
+        }
+
+        // Guards against a far data centre that is used although the own one has room.
+        test("equal load is taken by the home data centre, and a full one gives way to a far one") {
+            val near = agent(0)
+            val far = agent(1, "south")
+            choose(listOf(near, far), request, Random(1)) shouldBe near.instance
+            choose(listOf(near.copy(running = 10), far), request, Random(1)) shouldBe far.instance
+            choose(listOf(near.copy(draining = true), far.copy(connected = false)), request, Random(1)) shouldBe
+                far.instance
+        }
+
+        // Guards against connections that all move when one agent leaves, and against agents that no entry knows.
+        test("the subset prefers the own data centre, covers every agent and is stable") {
+            val agents = List(40) { agent(it, if (it < 10) "north" else "south") }
+            val subset = agentSubset(agents, InstanceId("entry"), home, 300)
+            subset.size shouldBe 6
+            agents.take(10).map { it.instance } shouldContainAll subset
+            val smaller =
+                agentSubset(agents.filterNot { it.instance == subset.first() }, InstanceId("entry"), home, 300)
+            (subset - smaller).size shouldBe 1
+            val few = List(3) { agentSubset(agents.drop(30), InstanceId("e$it"), DataCentre("south"), 3) }
+            few.forEach { it.size shouldBeInRange 8..10 }
+            few.flatten().toSet().size shouldBe 10
+        }
+
+        // Guards against an empty choice while an eligible agent is left.
+        test("every eligible agent is chosen once when those before refused") {
+            val tried = mutableSetOf<InstanceId>()
+            repeat(8) {
+                val next = choose(List(8) { agent(it) }, request, Random(it), tried)
+                next shouldNotBe null
+                tried += next!!
+            }
+            tried.size shouldBe 8
+            choose(List(8) { agent(it) }, request, Random(1), tried) shouldBe null
+        }
+    })
