Add the platform and engine stand-ins

The other modules need the outside systems of docs/platform-api.md to run against.

A lost response closes the connection by cancelling the job of Ktor's connection; the engine offers no public call for it.

Ruled out: Ktor's status pages plugin, which is not among the dependencies; one interceptor answers unreadable bodies with 400.

--- /dev/null
+++ b/standins/src/main/kotlin/io/teaselspring/standins/HttpServer.kt
@@ -0,0 +1,124 @@
+/*
+ * The HTTP server shared by the stand-ins: JSON in and out, an error body for unreadable requests, and the means to
+ * end a connection without a response.
+ */
+package io.teaselspring.standins
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.Application
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.application.ApplicationCallPipeline
+import io.ktor.server.application.call
+import io.ktor.server.cio.CIO
+import io.ktor.server.cio.CIOApplicationEngine
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.connector
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.plugins.BadRequestException
+import io.ktor.server.request.receiveText
+import io.ktor.server.response.header
+import io.ktor.server.response.respondText
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.job
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+
+internal val json: Json = Json { encodeDefaults = true }
+
+/** A running server and the port the system chose for it. */
+internal class RunningServer(
+    private val server: EmbeddedServer<CIOApplicationEngine, CIOApplicationEngine.Configuration>,
+    val port: Int,
+) {
+    fun stop() = server.stop(gracePeriodMillis = 0, timeoutMillis = 100)
+}
+
+/** Serves [module] on [host] and [port]; port 0 leaves the choice to the system. */
+internal suspend fun startServer(
+    host: String,
+    port: Int,
+    module: Application.() -> Unit,
+): RunningServer {
+    val server =
+        embeddedServer(
+            CIO,
+            configure = {
+                connector {
+                    this.host = host
+                    this.port = port
+                }
+                // Long enough that no pooled connection of a client is closed under it during a test.
+                connectionIdleTimeoutSeconds = 600
+                reuseAddress = true
+                shutdownGracePeriod = 0
+                shutdownTimeout = 100
+            },
+        ) {
+            answerBadRequests()
+            module()
+        }
+    server.startSuspend(wait = false)
+    return RunningServer(
+        server,
+        server.engine
+            .resolvedConnectors()
+            .first()
+            .port,
+    )
+}
+
+private fun Application.answerBadRequests() =
+    intercept(ApplicationCallPipeline.Plugins) {
+        try {
+            proceed()
+        } catch (e: BadRequestException) {
+            call.respond(error(HttpStatusCode.BadRequest, e.message ?: "bad request"))
+        }
+    }
+
+/** A response; [version] becomes its `ETag`. */
+internal data class Reply(
+    val status: HttpStatusCode,
+    val body: JsonElement? = null,
+    val version: Long? = null,
+)
+
+internal fun error(
+    status: HttpStatusCode,
+    message: String,
+): Reply = Reply(status, buildJsonObject { put("error", buildJsonObject { put("message", message) }) })
+
+internal suspend fun ApplicationCall.respond(reply: Reply) {
+    reply.version?.let { response.header(HttpHeaders.ETag, "\"$it\"") }
+    val body = reply.body
+    if (body == null) {
+        respondText("", status = reply.status)
+    } else {
+        respondText(body.toString(), ContentType.Application.Json, reply.status)
+    }
+}
+
+/** The body as [T]. Unknown fields are refused, so that a misspelt fault does not go unnoticed. */
+internal suspend inline fun <reified T> ApplicationCall.receiveJson(decoder: Json = json): T =
+    try {
+        decoder.decodeFromString<T>(receiveText())
+    } catch (e: SerializationException) {
+        throw BadRequestException(e.message ?: "unreadable body", e)
+    }
+
+/** Ends the caller's connection at once, whatever has been sent so far. Does not return. */
+@OptIn(ExperimentalCoroutinesApi::class) // The engine has no public way to drop a connection; its job is an ancestor.
+internal suspend fun ApplicationCall.cutConnection(): Nothing {
+    val connection =
+        generateSequence<Job>(coroutineContext.job) { it.parent }
+            .first { it.toString().contains("http-pipeline") }
+    connection.cancelAndJoin()
+    error("the connection's job was cancelled")
+}
--- a/standins/src/main/kotlin/io/teaselspring/standins/Main.kt
+++ b/standins/src/main/kotlin/io/teaselspring/standins/Main.kt
@@ -1,9 +1,43 @@
 /*
- * Command line entry point.
+ * Command line entry point of the stand-ins, test doubles for the outside systems.
  */
 package io.teaselspring.standins
 
-/** Starts the program. */
-fun main() {
-    println("not built yet")
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.NoOpCliktCommand
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.int
+import io.ktor.server.application.Application
+import io.teaselspring.standins.engine.EngineCommand
+import io.teaselspring.standins.platform.PlatformCommand
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.runBlocking
+
+/** A subcommand that serves HTTP until the process is ended. */
+internal abstract class HttpStandin(
+    name: String,
+) : CliktCommand(name) {
+    private val host by option("--host").default("127.0.0.1")
+    private val port by option("--port", help = "0 leaves the choice to the system").int().default(0)
+
+    abstract fun module(): Application.() -> Unit
+
+    override fun run() =
+        runBlocking {
+            val server = startServer(host, port, module())
+            println("event=listening port=${server.port}")
+            awaitCancellation()
+        }
 }
+
+/** Starts the program. */
+fun main(args: Array<String>) =
+    NoOpCliktCommand("standins")
+        .subcommands(PlatformCommand(), EngineCommand())
+        .main(args)
+
+/** Ends the process as a crash does: at once, without closing anything in order. */
+internal fun haltProcess() = Runtime.getRuntime().halt(137)
