Add the service and proxy stand-ins and their launcher

The tests with real processes need a plain service that shows how often a call ran, and faults on the links between processes.

--- a/standins/src/main/kotlin/io/teaselspring/standins/Main.kt
+++ b/standins/src/main/kotlin/io/teaselspring/standins/Main.kt
@@ -13,6 +13,8 @@
 import io.ktor.server.application.Application
 import io.teaselspring.standins.engine.EngineCommand
 import io.teaselspring.standins.platform.PlatformCommand
+import io.teaselspring.standins.proxy.ProxyCommand
+import io.teaselspring.standins.service.ServiceCommand
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.runBlocking
 
@@ -34,10 +36,13 @@
 }
 
 /** Starts the program. */
-fun main(args: Array<String>) =
+fun main(args: Array<String>) {
+    // Without Ktor's hook SIGTERM ends the process at once; with it running streams hold it up for over a second.
+    System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
     NoOpCliktCommand("standins")
-        .subcommands(PlatformCommand(), EngineCommand())
+        .subcommands(PlatformCommand(), EngineCommand(), ServiceCommand(), ProxyCommand())
         .main(args)
+}
 
 /** Ends the process as a crash does: at once, without closing anything in order. */
 internal fun haltProcess() = Runtime.getRuntime().halt(137)
--- /dev/null
+++ b/standins/src/test/kotlin/io/teaselspring/standins/ServiceTest.kt
@@ -0,0 +1,78 @@
+package io.teaselspring.standins
+
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.request.get
+import io.ktor.client.request.header
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.bodyAsText
+import io.teaselspring.standins.service.PlainService
+import io.teaselspring.standins.service.ServiceSettings
+import io.teaselspring.standins.service.plainService
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.milliseconds
+
+private class Crashed : RuntimeException()
+
+// Guards against executions that the record does not show, which would hide a call that ran twice.
+class ServiceTest :
+    FunSpec({
+        val client = HttpClient(CIO)
+        lateinit var server: RunningServer
+
+        suspend fun post(
+            path: String,
+            body: String,
+            requestId: String = "r1",
+        ) = client.post("http://127.0.0.1:${server.port}$path") {
+            header("X-Request-Id", requestId)
+            setBody(body)
+        }
+
+        suspend fun journal() = client.get("http://127.0.0.1:${server.port}/journal").bodyAsText()
+
+        beforeTest {
+            val service = PlainService(ServiceSettings(), Clock.System) { throw Crashed() }
+            server = startServer("127.0.0.1", 0) { plainService(service) }
+        }
+        afterTest { server.stop() }
+        afterSpec { client.close() }
+
+        test("a call whose response is cut has run, and its repeat counts as a second execution") {
+            post("/faults", """{"cut_response": true}""")
+            // The client's way to report a body shorter than its Content-Length.
+            val truncated = shouldThrow<IllegalStateException> { post("/bookings", "{}").bodyAsText() }
+            truncated.message shouldContain "Content-Length mismatch"
+            journal() shouldContain """"by_request_id":{"r1":1}"""
+            post("/faults", "{}")
+            post("/bookings", "{}").bodyAsText() shouldBe
+                """{"method":"POST","path":"/bookings","executions":2,"request_id":"r1"}"""
+            journal() shouldContain """"by_request_id":{"r1":2}"""
+        }
+
+        test("a crash before the execution leaves no trace and one after it does") {
+            post("/faults", """{"crash_before": true}""")
+            post("/bookings", "{}", "before").status.value shouldBe 500
+            post("/faults", """{"crash_after": true}""")
+            post("/bookings", "{}", "after").status.value shouldBe 500
+            journal() shouldContain """"by_request_id":{"after":1}"""
+        }
+
+        test("a hanging service answers nothing and runs nothing") {
+            post("/faults", """{"hang": true}""")
+            withTimeoutOrNull(200.milliseconds) { post("/bookings", "{}") } shouldBe null
+            journal() shouldContain """{"executions":0,"by_request_id":{},"entries":[]"""
+        }
+
+        test("reads are counted but not recorded") {
+            client.get("http://127.0.0.1:${server.port}/stock/a%2Fb").bodyAsText() shouldBe
+                """{"method":"GET","path":"/stock/a%2Fb","executions":1,"request_id":null}"""
+            journal() shouldContain """"entries":[]"""
+        }
+    })
