--- /dev/null
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/control/FakePlatform.kt
@@ -0,0 +1,124 @@
+package io.teaselspring.daemon.control
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.teaselspring.platform.ABSENT
+import io.teaselspring.platform.InstanceList
+import io.teaselspring.platform.ListedInstance
+import io.teaselspring.platform.ObjectStore
+import io.teaselspring.platform.OrderingInterface
+import io.teaselspring.platform.Platform
+import io.teaselspring.platform.PlatformError
+import io.teaselspring.platform.Row
+import io.teaselspring.platform.RowPage
+import io.teaselspring.platform.ScaleOrder
+import io.teaselspring.platform.TableStore
+import io.teaselspring.platform.TableWrite
+import io.teaselspring.platform.UsageIntake
+import io.teaselspring.platform.UsageReport
+import kotlinx.serialization.json.JsonElement
+import java.util.TreeMap
+
+/**
+ * The platform in memory. During an [outage] nothing is applied. The next [loseResponses] writes are applied but answer
+ * as ambiguous; the next [loseRequests] answer as ambiguous and are not applied.
+ */
+class FakePlatform {
+    val rows = TreeMap<String, Row>()
+    val objects = HashMap<String, ByteArray>()
+    val orders = mutableListOf<ScaleOrder>()
+    val reports = mutableListOf<UsageReport>()
+    var listed = emptyList<ListedInstance>()
+    var outage = false
+    var loseResponses = 0
+    var loseRequests = 0
+
+    /** Runs before each write is looked at; tests use it to let another process act first. */
+    var beforeWrite: suspend () -> Unit = {}
+
+    private val table =
+        object : TableStore {
+            override suspend fun get(
+                table: String,
+                key: String,
+            ) = reading { rows["$table/$key"]?.copy(key = key) }
+
+            override suspend fun put(
+                table: String,
+                key: String,
+                value: JsonElement,
+                ifVersion: Long,
+            ) = transaction(listOf(TableWrite(table, key, ifVersion, value))).map { it.single() }
+
+            override suspend fun scan(
+                table: String,
+                prefix: String,
+                after: String?,
+                limit: Int,
+            ) = reading {
+                val all =
+                    rows.values
+                        .filter { it.key.startsWith("$table/$prefix") && it.key > "$table/${after.orEmpty()}" }
+                        .map { it.copy(key = it.key.removePrefix("$table/")) }
+                RowPage(all.take(limit), all.size > limit)
+            }
+
+            override suspend fun transaction(writes: List<TableWrite>) = writing { apply(writes) }
+        }
+
+    private val objectStore =
+        object : ObjectStore {
+            override suspend fun get(key: String) = reading { objects[key] }
+
+            override suspend fun put(
+                key: String,
+                bytes: ByteArray,
+            ) = writing { Unit.right().also { objects[key] = bytes } }
+        }
+
+    val platform =
+        Platform(
+            table,
+            objectStore,
+            object : OrderingInterface {
+                override suspend fun send(order: ScaleOrder) = writing { Unit.right().also { orders += order } }
+            },
+            object : UsageIntake {
+                override suspend fun report(report: UsageReport) = writing { Unit.right().also { reports += report } }
+            },
+            object : InstanceList {
+                override suspend fun instances() = reading { listed }
+            },
+        )
+
+    private fun apply(writes: List<TableWrite>): Either<PlatformError, List<Long>> {
+        writes.forEachIndexed { index, write ->
+            val version = rows["${write.table}/${write.key}"]?.version ?: ABSENT
+            if (write.ifVersion != null && write.ifVersion != version) {
+                return PlatformError.Conflict("write", "fake", write.key, index).left()
+            }
+        }
+        return writes
+            .map { write ->
+                val path = "${write.table}/${write.key}"
+                val version = (rows[path]?.version ?: ABSENT) + 1
+                write.value?.let { rows[path] = Row(path, version, it) } ?: rows.remove(path)
+                version
+            }.right()
+    }
+
+    private fun <T> reading(read: () -> T): Either<PlatformError, T> =
+        if (outage) PlatformError.Unavailable("read", "fake", "outage").left() else read().right()
+
+    private suspend fun <T> writing(write: () -> Either<PlatformError, T>): Either<PlatformError, T> {
+        beforeWrite()
+        val lost = PlatformError.Ambiguous("write", "fake", "lost").left()
+        return when {
+            outage -> PlatformError.Unavailable("write", "fake", "outage").left()
+            loseRequests > 0 -> lost.also { loseRequests -= 1 }
+            loseResponses > 0 -> lost.also { loseResponses -= 1 }.also { write() }
+            else -> write()
+        }
+    }
+}
