--- a/core/src/main/kotlin/io/teaselspring/core/admission/BatchLimit.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/admission/BatchLimit.kt
@@ -9,13 +9,13 @@
     private val maximum: Int,
 ) {
     private var observed = 0
-    private var missed = 0
+    private var ratioSum = 0.0
     private var windowStartMs = 0L
 
     var value: Int = maximum
         private set
 
-    /** Adds an interval that [count] tokens took on average, and adjusts the limit once a window is complete. */
+    /** Adds [count] intervals of [intervalMs] on average, and adjusts the limit once a window is complete. */
     fun observe(
         intervalMs: Double,
         targetMs: Long?,
@@ -25,7 +25,7 @@
     ) {
         if (targetMs == null) return
         observed += count
-        if (intervalMs > targetMs) missed += count
+        ratioSum += count * intervalMs / targetMs
         if (nowMs - windowStartMs >= WINDOW_MS && observed >= MIN_OBSERVED) adjust(occupied, nowMs)
     }
 
@@ -33,23 +33,25 @@
         occupied: Int,
         nowMs: Long,
     ) {
-        if (missed * 100 > observed * MISSED_PCT) {
+        val ratio = ratioSum / observed
+        if (ratio > DECREASE_ABOVE) {
             // A batch that is still above the limit shows the effect of the old limit, not of the current one.
             if (occupied <= value) value = maxOf(1, value * DECREASE_PCT / 100)
-        } else if (occupied >= value) {
+        } else if (ratio < INCREASE_BELOW && occupied >= value) {
             value = minOf(maximum, value + 1)
         }
         observed = 0
-        missed = 0
+        ratioSum = 0.0
         windowStartMs = nowMs
     }
 
     private companion object {
-        const val WINDOW_MS = 250L
+        const val WINDOW_MS = 500L
         const val MIN_OBSERVED = 8
-        const val DECREASE_PCT = 85
+        const val DECREASE_PCT = 90
 
-        /** The between-tokens target holds for 95 of 100 requests. */
-        const val MISSED_PCT = 5
+        /** Most streams meet a target on average over the stream if the average of all stays this far below it. */
+        const val DECREASE_ABOVE = 0.95
+        const val INCREASE_BELOW = 0.9
     }
 }
