--- a/core/src/test/kotlin/io/teaselspring/core/config/ExamplesTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/config/ExamplesTest.kt
@@ -1,42 +1,43 @@
 package io.teaselspring.core.config
 
+import arrow.core.getOrElse
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.maps.shouldContainKey
 import io.kotest.matchers.shouldBe
+import io.teaselspring.core.DataCentre
 import io.teaselspring.core.UpstreamName
-import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.json.Json
-import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.decodeFromJsonElement
-import kotlinx.serialization.json.jsonObject
 import java.nio.file.Path
 import kotlin.io.path.listDirectoryEntries
 import kotlin.io.path.nameWithoutExtension
 import kotlin.io.path.readText
 
-@OptIn(ExperimentalSerializationApi::class)
-private val jsonc = Json { allowComments = true }
-
-private fun Path.readObject(): JsonObject = jsonc.parseToJsonElement(readText()).jsonObject
+private fun Path.read(): NamedDocument = parseDocument(toString(), readText()).getOrElse { error(it.toString()) }
 
 // Guards against examples that no longer fit the configuration's types, refer to nothing, or run too many instances.
 class ExamplesTest :
     FunSpec({
-        fun sites(name: String): Map<String, SiteConfig> {
-            val directory = Path.of("..", "examples", name)
-            val base = directory.resolve("base.jsonc").readObject()
-            return directory.resolve("overlays").listDirectoryEntries("*.jsonc").associate {
-                val overlaid = base.mergedWith(it.readObject())
-                it.nameWithoutExtension to jsonc.decodeFromJsonElement<SiteConfig>(overlaid)
+        fun base(name: String) = Path.of("..", "examples", name, "base.jsonc").read()
+
+        fun overlays(name: String) =
+            Path.of("..", "examples", name, "overlays").listDirectoryEntries("*.jsonc").associate {
+                DataCentre(it.nameWithoutExtension) to it.read()
+            }
+
+        fun sites(name: String): Map<String, SiteConfig> =
+            overlays(name).entries.associate { (dataCentre, overlay) ->
+                val overlaid = base(name).document.mergedWith(overlay.document)
+                dataCentre.value to Json.decodeFromJsonElement<SiteConfig>(overlaid)
             }
-        }
 
         fun Map<String, SiteConfig>.total(upstream: String) =
             values.sumOf { it.upstreams.getValue(UpstreamName(upstream)).maxCount }
 
         listOf("carriage", "association").forEach { name ->
             test("each overlay of $name decodes strictly over the base and refers only to what exists") {
+                validateDocuments(base(name), overlays(name)) shouldBe emptyList()
                 sites(name).values.forEach { site ->
                     site.routes.values.forEach {
                         site.classes shouldContainKey it.serviceClass
