--- a/daemon/src/main/kotlin/io/teaselspring/daemon/membership/ControlPeers.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/membership/ControlPeers.kt
@@ -1,6 +1,6 @@
 /*
- * The open links of this process, as far as the control side uses them: configuration changes and withdrawals are
- * exchanged with entries, and withdrawals are pushed to all.
+ * The open links of this entry to other entries. Configuration changes and withdrawals are exchanged over them; agents
+ * get withdrawals from the request path.
  */
 package io.teaselspring.daemon.membership
 
@@ -8,7 +8,6 @@
 import io.teaselspring.daemon.config.ConfigExchange
 import io.teaselspring.daemon.config.ConfigHolder
 import io.teaselspring.protocol.Message
-import io.teaselspring.protocol.Role
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -23,7 +22,6 @@
 /** An open link to [instance]; [offer] queues a message without waiting. */
 class PeerLink(
     val instance: InstanceId,
-    val role: Role,
     val offer: (Message) -> Boolean,
 )
 
@@ -35,14 +33,12 @@
 ) {
     private val links = ConcurrentHashMap.newKeySet<PeerLink>()
 
-    /** The instances that have an open link of [role]. */
-    fun linked(role: Role): Set<InstanceId> = links.filter { it.role == role }.map { it.instance }.toSet()
+    /** The entries that have an open link. */
+    fun linked(): Set<InstanceId> = links.map { it.instance }.toSet()
 
-    /** A link has opened. An agent is told at once which keys it must refuse. */
+    /** A link has opened. */
     fun opened(link: PeerLink) {
         links += link
-        val withdrawn = holder.withdrawnKeys()
-        if (link.role == Role.AGENT && withdrawn.isNotEmpty()) link.offer(Message.KeysWithdrawn(withdrawn.toList()))
         link.offer(exchange.versions())
     }
 
@@ -66,7 +62,6 @@
     fun announce() {
         val versions = exchange.versions()
         links
-            .filter { it.role == Role.ENTRY }
             .shuffled(random)
             .take(FAN_OUT)
             .forEach { it.offer(versions) }
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/config/ConfigExchangeTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/config/ConfigExchangeTest.kt
@@ -17,7 +17,6 @@
 import io.teaselspring.daemon.membership.PeerLink
 import io.teaselspring.protocol.MAX_FRAME_BYTES
 import io.teaselspring.protocol.Message
-import io.teaselspring.protocol.Role
 import io.teaselspring.protocol.encode
 import java.util.PriorityQueue
 import kotlin.random.Random
@@ -58,8 +57,8 @@
         b: Int,
     ) {
         lateinit var back: PeerLink
-        val forth = PeerLink(InstanceId("e$b"), Role.ENTRY) { send(a, b, back, it) }
-        back = PeerLink(InstanceId("e$a"), Role.ENTRY) { send(b, a, forth, it) }
+        val forth = PeerLink(InstanceId("e$b")) { send(a, b, back, it) }
+        back = PeerLink(InstanceId("e$a")) { send(b, a, forth, it) }
         peers[a].opened(forth)
         peers[b].opened(back)
         after(random.nextLong(3000)) { keepAlive(a, forth) }
