Run requests from callers through an entry and an agent to an upstream

It now starts as an entry or an agent and carries chat completions and pass-through calls.

The agent's single loop owns the scheduler, the record of requests and all attempts; runs and links only send it events. A non-idempotent call is recorded by request id, an idempotent one by attempt, because a stream may resume on the same agent. The entry follows Dispatch and gives the answer to the caller as a cold flow, so that a caller who leaves ends the flow, which cancels the attempt.

The protocol gains Received, by which a slow caller holds back only its own request on the shared link, and Failed.keyWithdrawn with a default.

--- /dev/null
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AgentMessages.kt
@@ -0,0 +1,72 @@
+/*
+ * Conversion between the messages of a link and the terms of the scheduler.
+ */
+package io.teaselspring.daemon.agent
+
+import io.teaselspring.core.admission.AttemptId
+import io.teaselspring.core.admission.OfferedRequest
+import io.teaselspring.core.admission.RefusalReason
+import io.teaselspring.core.admission.SchedulerLoad
+import io.teaselspring.protocol.CallKind
+import io.teaselspring.protocol.Message
+import io.teaselspring.protocol.NotRunReason
+import io.teaselspring.protocol.RunState
+import io.teaselspring.protocol.UsageRecord
+
+/** Wait that is named when no prediction exists, in milliseconds. */
+internal const val DEFAULT_RETRY_AFTER_MS = 1_000L
+
+internal fun Message.Submit.offered(nowMs: Long): OfferedRequest =
+    OfferedRequest(
+        id = AttemptId(requestId, attempt),
+        organisation = organisation,
+        organisationWeight = organisationWeight,
+        keyId = keyId,
+        serviceClass = serviceClass,
+        tier = tier,
+        classWeight = classWeight,
+        firstTokenDeadlineMs = nowMs + firstTokenBudgetMs,
+        betweenTokensTargetMs = betweenTokensTargetMs,
+        deadlineMs = nowMs + deadlineMs,
+        displace = displace,
+        // Only a stream can be resumed after it was stopped for another request.
+        preemptible = kind == CallKind.CHAT,
+    )
+
+internal fun Message.Submit.notRun(
+    reason: NotRunReason,
+    retryAfterMs: Long = DEFAULT_RETRY_AFTER_MS,
+): Message.NotRun = Message.NotRun(requestId, attempt, reason, retryAfterMs)
+
+internal fun Message.Submit.failed(
+    detail: String,
+    usage: UsageRecord?,
+    keyWithdrawn: Boolean = false,
+): Message.Failed = Message.Failed(requestId, attempt, RunState.UNKNOWN, detail, usage, keyWithdrawn)
+
+internal fun RefusalReason.toNotRun(): NotRunReason =
+    when (this) {
+        RefusalReason.TOO_LATE, RefusalReason.EXPIRED -> NotRunReason.TOO_LATE
+        RefusalReason.QUEUE_FULL -> NotRunReason.QUEUE_FULL
+        RefusalReason.DISPLACED -> NotRunReason.DISPLACED
+        RefusalReason.DRAINING -> NotRunReason.DRAINING
+        RefusalReason.UPSTREAM_DOWN -> NotRunReason.UPSTREAM_DOWN
+        RefusalReason.KEY_WITHDRAWN -> NotRunReason.KEY_WITHDRAWN
+        RefusalReason.DUPLICATE -> NotRunReason.DUPLICATE
+    }
+
+internal fun SchedulerLoad.message(
+    flushedUsageSequence: Long,
+    isDraining: Boolean,
+    configVersion: Long,
+): Message.Load =
+    Message.Load(
+        running = running,
+        queued = queued,
+        limit = limit,
+        lowestTier = lowestTier,
+        firstTokenEstimateMs = firstTokenEstimateMs,
+        flushedUsageSequence = flushedUsageSequence,
+        draining = isDraining,
+        configVersion = configVersion,
+    )
--- /dev/null
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/UpstreamClient.kt
@@ -0,0 +1,228 @@
+/*
+ * Calls on the upstream beside an agent: chat completions as server-sent events, plain calls passed through, and the
+ * health probe. Each call uses a connection of its own and closes it when it is cancelled, which cancels the work on
+ * the engine.
+ */
+package io.teaselspring.daemon.agent
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.engine.cio.endpoint
+import io.ktor.client.plugins.sse.ClientSSESession
+import io.ktor.client.plugins.sse.SSE
+import io.ktor.client.plugins.sse.SSEClientException
+import io.ktor.client.plugins.sse.sse
+import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.get
+import io.ktor.client.request.header
+import io.ktor.client.request.prepareRequest
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsBytes
+import io.ktor.client.statement.bodyAsChannel
+import io.ktor.http.HttpMethod
+import io.ktor.http.HttpStatusCode
+import io.ktor.http.encodedPath
+import io.ktor.http.isSuccess
+import io.ktor.http.takeFrom
+import io.ktor.sse.ServerSentEvent
+import io.ktor.utils.io.readAvailable
+import io.teaselspring.daemon.http.REQUEST_ID_HEADER
+import io.teaselspring.daemon.http.forCaller
+import io.teaselspring.daemon.http.forUpstream
+import io.teaselspring.daemon.http.toHeaderList
+import io.teaselspring.protocol.Message
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.buffer
+import kotlinx.coroutines.flow.produceIn
+import kotlinx.coroutines.withTimeoutOrNull
+import java.net.ConnectException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private const val CHUNK_BYTES = 16 * 1024
+private const val DONE = "[DONE]"
+private const val STALL_FACTOR = 20
+private val MIN_IDLE = 3.seconds
+
+/** Headers that would change the form of an event stream or are set by the client. */
+private val NOT_FOR_STREAMS = setOf("accept", "accept-encoding", "cache-control")
+
+/** Calls the upstream at [baseUrl]. [streamIdle] bounds the time without data. */
+internal class UpstreamClient(
+    private val baseUrl: String,
+    private val streamIdle: Duration,
+    connectLimit: Duration,
+) : AutoCloseable {
+    private val client =
+        HttpClient(CIO) {
+            expectSuccess = false
+            followRedirects = false
+            install(SSE)
+            engine {
+                requestTimeout = 0
+                maxConnectionsCount = 100_000
+                endpoint {
+                    maxConnectionsPerRoute = 100_000
+                    connectTimeout = connectLimit.inWholeMilliseconds
+                    connectAttempts = 1
+                }
+            }
+        }
+
+    override fun close() = client.close()
+
+    /** True if the upstream answers its health check with success within [timeout]. */
+    suspend fun isHealthy(timeout: Duration): Boolean =
+        try {
+            withTimeoutOrNull(timeout) { client.get("$baseUrl/healthz").status.isSuccess() } ?: false
+        } catch (e: CancellationException) {
+            throw e
+        } catch (_: Exception) {
+            false
+        }
+
+    /** Runs a chat completion, resuming at the attempt's offset. [onToken] is called for each event sent on. */
+    suspend fun chat(
+        attempt: Attempt,
+        onToken: suspend () -> Unit,
+    ): RunResult =
+        guarded {
+            try {
+                var result: RunResult? = null
+                client.sse(request = {
+                    prepare(attempt.submit, NOT_FOR_STREAMS)
+                    if (attempt.nextOffset > 0) header("Last-Event-ID", (attempt.nextOffset - 1).toString())
+                }) {
+                    result = relay(attempt, onToken)
+                }
+                result ?: RunResult.Broken("the event stream did not begin")
+            } catch (e: SSEClientException) {
+                val response = e.response
+                val isConnectFailure = e.cause is ConnectException
+                when {
+                    isConnectFailure -> RunResult.NotSent(e.cause?.message ?: "connection refused")
+                    response == null -> RunResult.Broken(e.message ?: "the event stream broke off")
+                    else -> answerWithoutStream(attempt, response)
+                }
+            }
+        }
+
+    /** Passes a plain call through. */
+    suspend fun call(attempt: Attempt): RunResult =
+        guarded {
+            client.prepareRequest { prepare(attempt.submit, emptySet()) }.execute { response ->
+                attempt.sendStarted(response)
+                val body = response.bodyAsChannel()
+                val buffer = ByteArray(CHUNK_BYTES)
+                while (true) {
+                    val count = withTimeoutOrNull(streamIdle) { body.readAvailable(buffer) }
+                    when {
+                        count == null -> return@execute RunResult.Broken("no data for $streamIdle")
+                        count < 0 -> break
+                        count == 0 -> continue
+                        !attempt.sendChunk(buffer.copyOf(count)) && !attempt.runsToItsEnd ->
+                            return@execute RunResult.Stopped
+                    }
+                }
+                RunResult.Complete
+            }
+        }
+
+    private suspend fun ClientSSESession.relay(
+        attempt: Attempt,
+        onToken: suspend () -> Unit,
+    ): RunResult =
+        coroutineScope {
+            attempt.sendStarted(call.response)
+            val events = incoming.buffer(Channel.RENDEZVOUS).produceIn(this)
+            var idle = streamIdle
+            var result: RunResult? = null
+            while (result == null) {
+                val event = withTimeoutOrNull(idle) { events.receiveCatching() }
+                result = if (event == null) RunResult.Broken("no event for $idle") else attempt.relay(event.getOrNull())
+                if (result == null) onToken()
+                idle = attempt.idleBetweenTokens()
+            }
+            events.cancel()
+            result
+        }
+
+    /** An engine that falls this far behind the class's target has stalled, and the stream resumes faster elsewhere. */
+    private fun Attempt.idleBetweenTokens(): Duration =
+        submit.betweenTokensTargetMs?.let { minOf(streamIdle, maxOf(MIN_IDLE, (it * STALL_FACTOR).milliseconds)) }
+            ?: streamIdle
+
+    private suspend fun answerWithoutStream(
+        attempt: Attempt,
+        response: HttpResponse,
+    ): RunResult {
+        val status = response.status
+        val isRefusal = status == HttpStatusCode.TooManyRequests || status == HttpStatusCode.ServiceUnavailable
+        return when {
+            isRefusal -> RunResult.RefusedByUpstream(retryAfterMs(response))
+            status.value in 400..499 && attempt.nextOffset == 0L -> {
+                attempt.sendStarted(response)
+                response.bodyAsBytes().takeIf { it.isNotEmpty() }?.let { attempt.sendChunk(it) }
+                RunResult.Complete
+            }
+            else -> RunResult.Broken("the upstream answered ${status.value} instead of an event stream")
+        }
+    }
+
+    private fun HttpRequestBuilder.prepare(
+        submit: Message.Submit,
+        without: Set<String>,
+    ) {
+        method = HttpMethod.parse(submit.method)
+        url.takeFrom(baseUrl)
+        // Set as a whole with its query, because parsing the query would reorder repeated parameters.
+        url.encodedPath = url.encodedPath.removeSuffix("/") + submit.path
+        submit.headers
+            .forUpstream()
+            .filter { it.name.lowercase() !in without }
+            .forEach { header(it.name, it.value) }
+        headers[REQUEST_ID_HEADER] = submit.requestId.value
+        if (submit.body.isNotEmpty()) setBody(submit.body)
+    }
+}
+
+/** Sends [event] on; returns how the run ends if it is the last event, a wrong one or null for an early end. */
+private suspend fun Attempt.relay(event: ServerSentEvent?): RunResult? {
+    val data = event?.data
+    return when {
+        event == null -> RunResult.Broken("the event stream ended early")
+        data == null -> RunResult.Broken("an event without data")
+        data == DONE -> RunResult.Complete
+        event.id?.toLongOrNull() != nextOffset -> RunResult.Broken("event id ${event.id} instead of $nextOffset")
+        else -> {
+            countTokens(data)
+            if (sendChunk(data.encodeToByteArray())) null else RunResult.Stopped
+        }
+    }
+}
+
+private suspend fun Attempt.sendStarted(response: HttpResponse) {
+    if (startedSent) return
+    startedSent = true
+    val headers = response.headers.toHeaderList().forCaller()
+    session.link.send(Message.Started(submit.requestId, submit.attempt, response.status.value, headers))
+}
+
+private fun retryAfterMs(response: HttpResponse) =
+    (response.headers["Retry-After"]?.toLongOrNull() ?: 1).coerceIn(0, 3600) * 1000
+
+private suspend fun guarded(run: suspend () -> RunResult): RunResult =
+    try {
+        run()
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: ConnectException) {
+        // Thrown only while the connection is being established, so the upstream has seen nothing of the request.
+        RunResult.NotSent(e.message ?: "connection refused")
+    } catch (e: Exception) {
+        RunResult.Broken(e.message ?: e::class.simpleName ?: "failed")
+    }
--- /dev/null
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/CallerHandler.kt
@@ -0,0 +1,241 @@
+/*
+ * Handles one request of a caller: authentication, limits, routing, and the answer.
+ */
+package io.teaselspring.daemon.entry
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.receiveChannel
+import io.ktor.server.request.uri
+import io.ktor.server.response.header
+import io.ktor.server.response.respondText
+import io.ktor.utils.io.readAvailable
+import io.teaselspring.core.RequestId
+import io.teaselspring.daemon.config.Caller
+import io.teaselspring.daemon.config.ConfigSource
+import io.teaselspring.daemon.http.REQUEST_ID_HEADER
+import io.teaselspring.daemon.http.toHeaderList
+import io.teaselspring.daemon.settings.RequestLimits
+import io.teaselspring.protocol.Header
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.buffer
+import kotlinx.coroutines.flow.produceIn
+import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration.Companion.milliseconds
+
+private val log = LoggerFactory.getLogger("io.teaselspring.daemon.entry")
+
+private const val MAX_IDEMPOTENCY_KEY_CHARS = 255
+
+/** Admits a request of an organisation by its own limits, or says why not. The returned function ends the request. */
+internal typealias AdmitOrganisation = (Caller?) -> Either<Refusal, () -> Unit>
+
+/** Handles callers' requests. Claimed requests run in [scope]. */
+internal class CallerHandler(
+    private val scope: CoroutineScope,
+    private val config: ConfigSource,
+    private val runs: RunContext,
+    private val outcomes: OutcomeStore,
+    private val limits: RequestLimits,
+    private val admit: AdmitOrganisation,
+    private val newRequestId: () -> RequestId,
+) {
+    private val idle = limits.streamIdleMs.milliseconds
+
+    /** Handles [call] and always responds to it, unless the caller's connection fails. */
+    suspend fun handle(call: ApplicationCall) {
+        val id = newRequestId()
+        call.response.header(REQUEST_ID_HEADER, id.value)
+        val headers = call.request.headers.toHeaderList()
+        val caller = headers.presentedKey()?.let(config::authenticate)
+        val refusal = refusalOf(call, headers, caller)
+        when {
+            refusal != null -> refuse(call, refusal, id)
+            call.path() == MODELS_PATH && call.request.httpMethod.value == "GET" ->
+                call.respondText(config.view.value.modelList(), ContentType.Application.Json)
+            else ->
+                read(call, id, headers)
+                    .flatMap { config.view.value.route(it, caller) }
+                    .flatMap { request -> admit(caller).map { request to it } }
+                    .fold({ refuse(call, it, id) }) { (request, release) ->
+                        try {
+                            serve(call, request)
+                        } finally {
+                            release()
+                        }
+                    }
+        }
+    }
+
+    private fun refusalOf(
+        call: ApplicationCall,
+        headers: List<Header>,
+        caller: Caller?,
+    ): Refusal? {
+        val isOpen =
+            config.view.value.site
+                .routeOf(call.request.uri)
+                ?.openToAll ?: false
+        val headerBytes = headers.sumOf { it.name.length + it.value.length + 4 }
+        return when {
+            headerBytes > limits.headerBytes -> Refusal(431, "headers_too_large", "the headers are too large")
+            !config.mayServe() ->
+                Refusal(503, "isolated", "no contact with the configuration", retryAfterMs = ISOLATED_RETRY_MS)
+            caller == null && !isOpen -> Refusal(401, "invalid_api_key", "no valid key was presented")
+            else -> null
+        }
+    }
+
+    private suspend fun refuse(
+        call: ApplicationCall,
+        refusal: Refusal,
+        id: RequestId,
+    ) {
+        log.info("event=refused request={} status={} type={}", id, refusal.status, refusal.type)
+        call.refuse(refusal, id)
+    }
+
+    private suspend fun read(
+        call: ApplicationCall,
+        id: RequestId,
+        headers: List<Header>,
+    ): Either<Refusal, CallerRequest> {
+        val declared = call.request.headers[HttpHeaders.ContentLength]?.toLongOrNull() ?: 0
+        val body = if (declared > limits.bodyBytes) null else withTimeoutOrNull(idle) { readBody(call) }
+        return when {
+            declared > limits.bodyBytes || body is BodyRead.TooLarge ->
+                Refusal(413, "body_too_large", "the body exceeds ${limits.bodyBytes} bytes").left()
+            body is BodyRead.Whole ->
+                CallerRequest(id, call.request.httpMethod.value, call.request.uri, headers, body.bytes).right()
+            else -> Refusal(408, "request_timeout", "the body did not arrive in time").left()
+        }
+    }
+
+    private sealed interface BodyRead {
+        class Whole(
+            val bytes: ByteArray,
+        ) : BodyRead
+
+        data object TooLarge : BodyRead
+    }
+
+    private suspend fun readBody(call: ApplicationCall): BodyRead {
+        val channel = call.receiveChannel()
+        val body = ByteArrayOutputStream()
+        val buffer = ByteArray(READ_BYTES)
+        while (body.size() <= limits.bodyBytes) {
+            val count = channel.readAvailable(buffer)
+            if (count < 0) return BodyRead.Whole(body.toByteArray())
+            body.write(buffer, 0, count)
+        }
+        return BodyRead.TooLarge
+    }
+
+    private suspend fun serve(
+        call: ApplicationCall,
+        request: RoutedRequest,
+    ) {
+        val startMs = runs.nowMs()
+        var end: Refusal? = CALLER_LEFT
+        try {
+            val idempotencyKey = call.request.headers[IDEMPOTENCY_HEADER].takeIf { !request.idempotent }
+            end =
+                when {
+                    idempotencyKey == null -> respond(call, request)
+                    idempotencyKey.length > MAX_IDEMPOTENCY_KEY_CHARS ->
+                        Refusal(400, "invalid_request_error", "$IDEMPOTENCY_HEADER is too long")
+                            .also { call.refuse(it, request.id) }
+                    else -> respondClaimed(call, request, idempotencyKey)
+                }
+        } catch (e: AnswerAborted) {
+            end = e.refusal
+            throw e
+        } finally {
+            val tookMs = runs.nowMs() - startMs
+            val status = call.response.status()?.value ?: 0
+            runs.observer.ended(request, status, end, tookMs)
+            logEnd(request, status, end, tookMs)
+        }
+    }
+
+    private suspend fun respondClaimed(
+        call: ApplicationCall,
+        request: RoutedRequest,
+        idempotencyKey: String,
+    ): Refusal? {
+        val key = outcomeKey(request, idempotencyKey)
+        return when (val whole = outcomes.runClaimed(scope, key, request.id, runs.run(request))) {
+            is Whole.Answer -> {
+                if (whole.isRepeat) call.response.header("Idempotent-Replayed", "true")
+                call.respondWhole(whole.answer)
+                null
+            }
+            is Whole.Failed -> whole.refusal.also { call.refuse(it, request.id) }
+        }
+    }
+
+    private suspend fun respond(
+        call: ApplicationCall,
+        request: RoutedRequest,
+    ): Refusal? =
+        coroutineScope {
+            val parts = runs.run(request).buffer(Channel.RENDEZVOUS).produceIn(this)
+            when (val first = parts.receive()) {
+                is AnswerPart.Head -> {
+                    val isStream = request.isChat && first.status == 200
+                    when {
+                        isStream && request.answer == AnswerForm.OBJECT -> call.respondObject(parts, request.id)
+                        else -> call.respondParts(first, parts, isStream, request.id, idle)
+                    }
+                }
+                is AnswerPart.Error -> first.refusal.also { call.refuse(it, request.id) }
+                is AnswerPart.Data, AnswerPart.End -> error("an answer without a head")
+            }
+        }
+}
+
+private const val MODELS_PATH = "/v1/models"
+private const val READ_BYTES = 8 * 1024
+private const val ISOLATED_RETRY_MS = 5_000L
+
+private val CALLER_LEFT = Refusal(499, "caller_left", "the caller left", Ran.OUTCOME_UNKNOWN)
+
+private fun ApplicationCall.path() = request.uri.substringBefore('?')
+
+/** The secret of the key that a caller presents as a bearer token or as `X-Api-Key`. */
+private fun List<Header>.presentedKey(): String? {
+    val bearer =
+        firstOrNull { it.name.equals("authorization", ignoreCase = true) }
+            ?.value
+            ?.takeIf { it.startsWith("Bearer ", ignoreCase = true) }
+            ?.drop("Bearer ".length)
+    val key = bearer ?: firstOrNull { it.name.equals("x-api-key", ignoreCase = true) }?.value
+    return key?.trim()?.takeIf { it.isNotEmpty() }
+}
+
+private fun logEnd(
+    request: RoutedRequest,
+    status: Int,
+    end: Refusal?,
+    tookMs: Long,
+) = log.info(
+    "event=request id={} organisation={} class={} upstream={} status={} end={} ran=\"{}\" took_ms={}",
+    request.id,
+    request.organisation,
+    request.destination.className,
+    request.destination.upstream,
+    status,
+    end?.type ?: "complete",
+    end?.ran?.text ?: "complete",
+    tookMs,
+)
--- /dev/null
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/CallerServer.kt
@@ -0,0 +1,128 @@
+/*
+ * The HTTP listener for callers: CIO, or Netty when TLS is set, which CIO does not serve.
+ */
+package io.teaselspring.daemon.entry
+
+import io.ktor.http.HttpHeaders
+import io.ktor.server.application.Application
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.application.ApplicationCallPipeline
+import io.ktor.server.application.install
+import io.ktor.server.application.serverConfig
+import io.ktor.server.cio.CIO
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.connector
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.engine.sslConnector
+import io.ktor.server.http.HttpRequestLifecycle
+import io.ktor.server.netty.Netty
+import io.ktor.server.response.header
+import io.teaselspring.core.RequestId
+import io.teaselspring.daemon.http.boundAddress
+import io.teaselspring.daemon.http.hostOf
+import io.teaselspring.daemon.http.portOf
+import io.teaselspring.daemon.settings.RequestLimits
+import io.teaselspring.daemon.settings.TlsFiles
+import kotlinx.coroutines.CancellationException
+import org.slf4j.LoggerFactory
+import java.util.concurrent.atomic.AtomicInteger
+
+private val log = LoggerFactory.getLogger("io.teaselspring.daemon.entry")
+
+/** The listener for callers; [handler] answers their requests. */
+internal class CallerServer(
+    private val handler: CallerHandler,
+    private val limits: RequestLimits,
+) {
+    private val running = AtomicInteger()
+    private var server: EmbeddedServer<*, *>? = null
+
+    @Volatile
+    private var refusesNew = false
+
+    /** Number of requests that are being answered. */
+    val inFlight: Int get() = running.get()
+
+    /** Listens on [address]; returns the bound one. */
+    suspend fun start(
+        address: String,
+        tls: TlsFiles?,
+    ): String {
+        val started = if (tls == null) plainServer(address) else tlsServer(address, tls)
+        started.startSuspend(wait = false)
+        server = started
+        return started.boundAddress()
+    }
+
+    /** Refuses new requests from now on. */
+    fun refuseNew() {
+        refusesNew = true
+    }
+
+    /** Closes all connections. */
+    suspend fun stop() {
+        server?.stopSuspend(gracePeriodMillis = STOP_GRACE_MS, timeoutMillis = 2 * STOP_GRACE_MS)
+    }
+
+    private fun plainServer(address: String): EmbeddedServer<*, *> =
+        embeddedServer(CIO, serverConfig { module { callers() } }) {
+            connector {
+                host = hostOf(address)
+                port = portOf(address)
+            }
+        }
+
+    private fun tlsServer(
+        address: String,
+        tls: TlsFiles,
+    ): EmbeddedServer<*, *> =
+        embeddedServer(Netty, serverConfig { module { callers() } }) {
+            val password = CharArray(0)
+            sslConnector(keyStoreOf(tls, password), KEY_ALIAS, { password }, { password }) {
+                host = hostOf(address)
+                port = portOf(address)
+            }
+            maxHeaderSize = limits.headerBytes
+            tcpKeepAlive = true
+        }
+
+    private fun Application.callers() {
+        // Without it a caller that leaves is noticed only when something is written to it.
+        install(HttpRequestLifecycle) { cancelCallOnClose = true }
+        intercept(ApplicationCallPipeline.Call) { answer(context) }
+    }
+
+    private suspend fun answer(call: ApplicationCall) {
+        try {
+            val now = running.incrementAndGet()
+            when {
+                refusesNew -> refuse(call, Refusal(503, "draining", "this entry is stopping", retryAfterMs = 1_000))
+                now > limits.connections ->
+                    refuse(call, Refusal(503, "overloaded", "too many requests at once", retryAfterMs = 1_000))
+                else -> handler.handle(call)
+            }
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            // An answer that has begun can only be broken off.
+            if (call.response.isCommitted) throw e
+            log.warn("event=request_error error=\"{}\"", e.toString())
+            call.refuse(Refusal(500, "internal_error", "internal error", Ran.OUTCOME_UNKNOWN), NO_ID)
+        } finally {
+            running.decrementAndGet()
+        }
+    }
+
+    private suspend fun refuse(
+        call: ApplicationCall,
+        refusal: Refusal,
+    ) {
+        call.response.header(HttpHeaders.Connection, "close")
+        call.refuse(refusal, NO_ID)
+    }
+
+    private companion object {
+        const val STOP_GRACE_MS = 200L
+        val NO_ID = RequestId("none")
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/ChatObject.kt
@@ -0,0 +1,85 @@
+/*
+ * Builds the answer to a chat completion that is not streamed from the engine's events.
+ */
+package io.teaselspring.daemon.entry
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.intOrNull
+import kotlinx.serialization.json.jsonObject
+
+/** Fields of a delta whose text is one whole value in each event and not a continuation. */
+private val WHOLE_FIELDS = setOf("role", "id", "type", "name", "finish_reason")
+
+/** Collects the events of one chat completion. */
+internal class ChatObject {
+    private val frame = LinkedHashMap<String, JsonElement>()
+    private val choices = sortedMapOf<Int, JsonObject>()
+
+    /**
+     * Adds one event.
+     *
+     * @throws kotlinx.serialization.SerializationException or IllegalArgumentException if it is not a JSON object.
+     */
+    fun add(event: ByteArray) {
+        val chunk = Json.parseToJsonElement(event.decodeToString()).jsonObject
+        chunk.forEach { (name, value) -> if (name != "choices" && value != JsonNull) frame[name] = value }
+        (chunk["choices"] as? JsonArray)?.forEach { addChoice(it.jsonObject) }
+    }
+
+    private fun addChoice(choice: JsonObject) {
+        val index = (choice["index"] as? JsonPrimitive)?.intOrNull ?: 0
+        val renamed = choice.mapKeys { (name, _) -> if (name == "delta") "message" else name }
+        choices[index] = merged(choices[index] ?: JsonObject(emptyMap()), JsonObject(renamed))
+    }
+
+    /** The answer made of all events. */
+    fun build(): JsonObject =
+        JsonObject(
+            frame +
+                mapOf(
+                    "object" to JsonPrimitive("chat.completion"),
+                    "choices" to JsonArray(choices.values.toList()),
+                ),
+        )
+}
+
+private fun merged(
+    earlier: JsonObject,
+    later: JsonObject,
+): JsonObject {
+    val result = LinkedHashMap(earlier)
+    later.forEach { (name, value) ->
+        val before = result[name]
+        result[name] =
+            when {
+                value is JsonNull && before != null -> before
+                before is JsonObject && value is JsonObject -> merged(before, value)
+                before is JsonArray && value is JsonArray -> mergedByIndex(before, value)
+                name !in WHOLE_FIELDS && before.isText() && value.isText() ->
+                    JsonPrimitive((before as JsonPrimitive).content + (value as JsonPrimitive).content)
+                else -> value
+            }
+    }
+    return JsonObject(result)
+}
+
+/** Merges lists of objects by their `index` field, as tool calls arrive. */
+private fun mergedByIndex(
+    earlier: JsonArray,
+    later: JsonArray,
+): JsonArray {
+    val result = earlier.toMutableList()
+    later.forEach { value ->
+        val index = ((value as? JsonObject)?.get("index") as? JsonPrimitive)?.intOrNull
+        val at = if (index == null) -1 else result.indexOfFirst { (it as? JsonObject)?.get("index") == value["index"] }
+        if (at < 0) result += value else result[at] = merged(result[at] as JsonObject, value as JsonObject)
+    }
+    return JsonArray(result)
+}
+
+private fun JsonElement?.isText() = this is JsonPrimitive && isString
--- /dev/null
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/Entry.kt
@@ -0,0 +1,122 @@
+/*
+ * An entry: takes callers' requests and runs them on agents.
+ */
+package io.teaselspring.daemon.entry
+
+import arrow.core.right
+import io.teaselspring.daemon.MonotonicMs
+import io.teaselspring.daemon.config.ConfigSource
+import io.teaselspring.daemon.link.Link
+import io.teaselspring.daemon.link.LinkContext
+import io.teaselspring.daemon.link.LinkListener
+import io.teaselspring.daemon.link.listenForLinks
+import io.teaselspring.daemon.milliseconds
+import io.teaselspring.daemon.settings.RequestLimits
+import io.teaselspring.daemon.settings.Settings
+import io.teaselspring.daemon.usage.NoUsage
+import io.teaselspring.daemon.usage.ReceivedUsage
+import io.teaselspring.protocol.Role
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+private val log = LoggerFactory.getLogger("io.teaselspring.daemon.entry")
+
+/** What an entry needs besides its settings. [drainNotice] is how long callers are still served after a drain began. */
+class EntryParts(
+    val config: ConfigSource,
+    val directory: AgentDirectory,
+    val outcomes: OutcomeStore = NoOutcomeStore,
+    val usage: ReceivedUsage = NoUsage,
+    val peers: PeerHandler = object : PeerHandler {},
+    val retries: Retries = UnlimitedRetries,
+    val nowMs: MonotonicMs = TimeSource.Monotonic.milliseconds(),
+    val random: Random = Random.Default,
+    val drainNotice: Duration = 2.seconds,
+)
+
+/** Where an entry listens, "IP:port". */
+data class EntryAddresses(
+    val callers: String,
+    val internal: String,
+)
+
+/** An entry with [settings]. It works within [scope] until that is cancelled. */
+class Entry(
+    private val scope: CoroutineScope,
+    private val settings: Settings,
+    private val links: LinkContext,
+    private val parts: EntryParts,
+) {
+    private val limits: RequestLimits = settings.limits
+    private val inboxes = Inboxes()
+    private val pool =
+        AgentPool(links, inboxes, parts.config::withdrawnKeys, parts.usage, parts.peers, parts.nowMs)
+    private val runs =
+        RunContext(
+            home = settings.dataCentre,
+            pool = pool,
+            inboxes = inboxes,
+            retries = parts.retries,
+            withdrawnKeys = parts.config::withdrawnKeys,
+            streamIdleMs = limits.streamIdleMs,
+            nowMs = parts.nowMs,
+            random = parts.random::nextInt,
+            observer = object : RequestObserver {},
+        )
+    private val handler =
+        CallerHandler(scope, parts.config, runs, parts.outcomes, limits, { {}.right() }, RequestIds()::next)
+    private val callers = CallerServer(handler, limits)
+    private var listener: LinkListener? = null
+
+    /** True while this entry takes callers' requests. */
+    @Volatile
+    var isReady: Boolean = false
+        private set
+
+    /** Starts the entry; returns the addresses that it listens on. */
+    suspend fun start(): EntryAddresses {
+        val internal = scope.listenForLinks(links, settings.addresses.internal, ::serve)
+        listener = internal
+        scope.launch {
+            parts.config.withdrawals.collect { keyIds ->
+                inboxes.withdraw(keyIds)
+                pool.withdraw(keyIds)
+            }
+        }
+        pool.start(scope, parts.directory)
+        val address = callers.start(requireNotNull(settings.addresses.callers), settings.callersTls)
+        isReady = true
+        return EntryAddresses(address, internal.address)
+    }
+
+    /** Turns readiness off, serves callers for the notice, then takes no new requests and waits for running ones. */
+    suspend fun drain() {
+        log.info("event=drain_started running={}", inboxes.size)
+        isReady = false
+        delay(parts.drainNotice)
+        callers.refuseNew()
+        pool.sayGoodbye()
+        listener?.stopAccepting()
+        while (callers.inFlight > 0 || inboxes.size > 0) delay(DRAIN_POLL)
+        callers.stop()
+        log.info("event=drained")
+    }
+
+    /** What the entry is doing, for the state dump. */
+    fun summary(): EntrySummary = EntrySummary(inboxes.size, callers.inFlight, pool.views())
+
+    private suspend fun serve(link: Link) {
+        if (link.peer.role == Role.ENTRY) parts.peers.entryLink(link)
+    }
+
+    private companion object {
+        val DRAIN_POLL = 20.milliseconds
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/Routing.kt
@@ -0,0 +1,217 @@
+/*
+ * Which upstream, class and model a caller's request is for.
+ */
+package io.teaselspring.daemon.entry
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import io.teaselspring.core.ClassName
+import io.teaselspring.core.ModelName
+import io.teaselspring.core.OrganisationId
+import io.teaselspring.core.RequestId
+import io.teaselspring.core.UpstreamName
+import io.teaselspring.core.config.Route
+import io.teaselspring.core.config.ServiceClass
+import io.teaselspring.core.config.SiteConfig
+import io.teaselspring.core.config.UpstreamKind
+import io.teaselspring.daemon.config.Caller
+import io.teaselspring.daemon.config.SiteView
+import io.teaselspring.daemon.http.forUpstream
+import io.teaselspring.protocol.CallKind
+import io.teaselspring.protocol.Header
+import io.teaselspring.protocol.Message
+
+/** Path of chat completions. */
+const val CHAT_PATH = "/v1/chat/completions"
+
+/** Header by which a caller says how long it waits, in milliseconds. */
+const val TIMEOUT_HEADER = "X-Request-Timeout-Ms"
+
+private const val DEFAULT_TIMEOUT_MS = 600_000L
+
+/** Class of requests on routes that name a class that is not configured. */
+private val UNKNOWN_CLASS = ServiceClass(tier = Int.MAX_VALUE, firstTokenTargetMs = 60_000)
+
+/** A request as a caller sent it. [path] includes the query. */
+internal class CallerRequest(
+    val id: RequestId,
+    val method: String,
+    val path: String,
+    val headers: List<Header>,
+    val body: ByteArray,
+) {
+    fun header(name: String): String? = headers.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
+}
+
+/** Where a request goes and with which targets. */
+internal class Destination(
+    val upstream: UpstreamName,
+    val className: ClassName,
+    val serviceClass: ServiceClass,
+    val model: ModelName? = null,
+    val prefixHash: Long? = null,
+)
+
+/** What is sent to the upstream. */
+internal class UpstreamCall(
+    val kind: CallKind,
+    val method: String,
+    val path: String,
+    val headers: List<Header>,
+    val body: ByteArray,
+)
+
+/** A request with everything that the agents need to know. [answer] tells what the caller gets. */
+internal class RoutedRequest(
+    val id: RequestId,
+    val caller: Caller?,
+    val organisationWeight: Int,
+    val destination: Destination,
+    val call: UpstreamCall,
+    val answer: AnswerForm,
+    val idempotent: Boolean,
+    val timeoutMs: Long,
+) {
+    val organisation: OrganisationId? get() = caller?.organisation
+    val serviceClass: ServiceClass get() = destination.serviceClass
+    val isChat: Boolean get() = call.kind == CallKind.CHAT
+
+    /** The offer of this request as attempt [attempt], [elapsedMs] after its arrival. */
+    fun submit(
+        attempt: Int,
+        displace: Boolean,
+        resumeOffset: Long,
+        elapsedMs: Long,
+    ): Message.Submit =
+        Message.Submit(
+            requestId = id,
+            attempt = attempt,
+            organisation = organisation,
+            organisationWeight = organisationWeight,
+            keyId = caller?.keyId,
+            serviceClass = destination.className,
+            tier = serviceClass.tier,
+            classWeight = serviceClass.weight,
+            // A resumed stream has no first token to wait for any more; it gets the whole target for its new queue.
+            firstTokenBudgetMs = serviceClass.firstTokenTargetMs - if (resumeOffset > 0) 0 else elapsedMs,
+            betweenTokensTargetMs = serviceClass.betweenTokensTargetMs,
+            deadlineMs = timeoutMs - elapsedMs,
+            displace = displace,
+            idempotent = idempotent,
+            kind = call.kind,
+            model = destination.model,
+            method = call.method,
+            path = call.path,
+            headers = call.headers,
+            body = call.body,
+            resumeOffset = resumeOffset,
+        )
+}
+
+/** What the caller gets: the engine's events, one JSON object made of them, or the upstream's answer as it is. */
+internal enum class AnswerForm { EVENTS, OBJECT, PASSED_THROUGH }
+
+/** The route with the longest prefix of [path] that ends at a `/` or at the end of the path. */
+internal fun SiteConfig.routeOf(path: String): Route? =
+    routes.values.filter { path.hasPrefix(it.pathPrefix) }.maxByOrNull { it.pathPrefix.length }
+
+private fun String.hasPrefix(prefix: String): Boolean {
+    val path = substringBefore('?')
+    return path.startsWith(prefix) &&
+        (path.length == prefix.length || prefix.endsWith('/') || path[prefix.length] == '/')
+}
+
+/** Completes [request] of [caller] by the configuration, or says why it is refused. */
+internal fun SiteView.route(
+    request: CallerRequest,
+    caller: Caller?,
+): Either<Refusal, RoutedRequest> {
+    val route = site.routeOf(request.path)
+    val timeoutMs = request.header(TIMEOUT_HEADER)?.toLongOrNull() ?: DEFAULT_TIMEOUT_MS
+    return when {
+        timeoutMs !in 1..DEFAULT_TIMEOUT_MS ->
+            refused(400, "invalid_request_error", "$TIMEOUT_HEADER must be from 1 to $DEFAULT_TIMEOUT_MS")
+        request.path.substringBefore('?') == CHAT_PATH -> routeChat(request, route, caller, timeoutMs)
+        route == null -> refused(404, "not_found", "no route for this path")
+        else -> routeCall(request, route, caller, timeoutMs).right()
+    }
+}
+
+private fun SiteView.routeCall(
+    request: CallerRequest,
+    route: Route,
+    caller: Caller?,
+    timeoutMs: Long,
+) = RoutedRequest(
+    id = request.id,
+    caller = caller,
+    organisationWeight = weightOf(caller),
+    destination =
+        Destination(route.upstream, route.serviceClass, site.classes[route.serviceClass] ?: UNKNOWN_CLASS),
+    call = UpstreamCall(CallKind.HTTP, request.method, request.path, request.headers.forUpstream(), request.body),
+    answer = AnswerForm.PASSED_THROUGH,
+    idempotent = request.method in route.idempotentMethods,
+    timeoutMs = timeoutMs,
+)
+
+private fun SiteView.routeChat(
+    request: CallerRequest,
+    route: Route?,
+    caller: Caller?,
+    timeoutMs: Long,
+): Either<Refusal, RoutedRequest> =
+    parseChatRequest(request.body).flatMap { chat ->
+        val upstream = site.upstreamOf(chat.model, route)
+        val className =
+            chat.serviceTier?.takeUnless { it in UNSPECIFIED_TIERS }?.let(::ClassName) ?: route?.serviceClass
+        val serviceClass = className?.let { site.classes[it] }
+        when {
+            upstream == null -> refused(404, "model_not_found", "no upstream serves the model \"${chat.model}\"")
+            className == null -> refused(400, "invalid_request_error", "\"service_tier\" is needed")
+            serviceClass == null ->
+                refused(
+                    400,
+                    "invalid_request_error",
+                    "\"service_tier\" must be one of ${site.classes.keys.joinToString()}",
+                )
+            else ->
+                RoutedRequest(
+                    id = request.id,
+                    caller = caller,
+                    organisationWeight = weightOf(caller),
+                    destination = Destination(upstream, className, serviceClass, chat.model, chat.prefixHash()),
+                    call =
+                        UpstreamCall(
+                            CallKind.CHAT,
+                            "POST",
+                            CHAT_PATH,
+                            request.headers.forUpstream(),
+                            chat.engineBody(serviceClass.tier),
+                        ),
+                    answer = if (chat.stream) AnswerForm.EVENTS else AnswerForm.OBJECT,
+                    idempotent = true,
+                    timeoutMs = timeoutMs,
+                ).right()
+        }
+    }
+
+/** Values of `service_tier` that leave the choice to the route. */
+private val UNSPECIFIED_TIERS = setOf("auto", "default")
+
+private fun SiteConfig.upstreamOf(
+    model: ModelName,
+    route: Route?,
+): UpstreamName? {
+    val serving = upstreams.filterValues { it.kind == UpstreamKind.MODEL_ENGINE && model in it.models }.keys
+    return route?.upstream?.takeIf { it in serving } ?: serving.firstOrNull()
+}
+
+private fun SiteView.weightOf(caller: Caller?) = caller?.let { organisations[it.organisation]?.weight } ?: 1
+
+private fun refused(
+    status: Int,
+    type: String,
+    message: String,
+) = Refusal(status, type, message).left()
--- /dev/null
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/Addresses.kt
@@ -0,0 +1,19 @@
+/*
+ * Addresses of HTTP listeners.
+ */
+package io.teaselspring.daemon.http
+
+import io.ktor.server.engine.EmbeddedServer
+
+/** The IP address in [address], "IP:port". */
+fun hostOf(address: String): String = address.substringBeforeLast(':').removeSurrounding("[", "]")
+
+/** The port in [address], "IP:port". */
+fun portOf(address: String): Int = address.substringAfterLast(':').toInt()
+
+/** The address that this server's first connector is bound to, "IP:port". */
+suspend fun EmbeddedServer<*, *>.boundAddress(): String =
+    engine.resolvedConnectors().first().let { connector ->
+        val host = if (':' in connector.host) "[${connector.host}]" else connector.host
+        "$host:${connector.port}"
+    }
--- a/protocol/src/main/kotlin/io/teaselspring/protocol/Message.kt
+++ b/protocol/src/main/kotlin/io/teaselspring/protocol/Message.kt
@@ -27,6 +27,9 @@
 /** Version of this protocol; peers with another major version are refused. */
 public const val PROTOCOL_VERSION: Int = 1
 
+/** Largest number of chunks of one attempt that an agent sends beyond the last ones reported as received. */
+public const val CHUNK_WINDOW: Int = 64
+
 /** The role of a process. */
 @Serializable
 public enum class Role {
@@ -159,6 +162,18 @@
         val attempt: Int,
     ) : Message
 
+    /**
+     * The entry has passed all chunks before [nextOffset] to the caller. The agent keeps at most [CHUNK_WINDOW] chunks
+     * beyond it on the way, so that a slow caller holds up its own request only.
+     */
+    @Serializable
+    @SerialName("received")
+    public data class Received(
+        val requestId: RequestId,
+        val attempt: Int,
+        val nextOffset: Long,
+    ) : Message
+
     /** The agent has queued or started the request. */
     @Serializable
     @SerialName("accepted")
@@ -207,7 +222,7 @@
         val usage: UsageRecord?,
     ) : Message
 
-    /** The attempt ended without a whole answer. */
+    /** The attempt ended without a whole answer; [keyWithdrawn] tells that this is because its key was withdrawn. */
     @Serializable
     @SerialName("failed")
     public data class Failed(
@@ -216,6 +231,7 @@
         val runState: RunState,
         val detail: String,
         val usage: UsageRecord? = null,
+        val keyWithdrawn: Boolean = false,
     ) : Message
 
     /**
