Serve operators, start the control loops, and test failures of the path

The daemon had no operators' listener and did not start the control side. Operators now have health, readiness, metrics, the state dump and drain; the entry's control routes are mounted behind the operators' key. An entry with platform_url runs EntryControl; static_config stays for a process without a platform until the stand-in platform is used everywhere.

The entry follows the new core: it reports completed runs to the scheduler, passes the displacing pass to the choice, keeps a retry budget and feeds the straggler detector. First tokens are measured only on agents with room, because a wait in a queue says nothing about an engine's speed.

The failure tests found one fault of ours: a chat cancelled before the engine's first byte went on at the engine, because Ktor's SSE plugin runs the call in the client's scope until the response begins. The call's own job is now cancelled with the run. Writing our own event-stream reader was ruled out. The tests themselves leaked one selector thread per link and server, which starved the dispatcher; they now share one and close what they start.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/Daemon.kt
@@ -3,14 +3,6 @@
  */
 package io.teaselspring.daemon
 
-import io.ktor.network.selector.SelectorManager
-import io.teaselspring.core.Incarnation
-import io.teaselspring.daemon.agent.Agent
-import io.teaselspring.daemon.config.staticConfigSource
-import io.teaselspring.daemon.entry.Entry
-import io.teaselspring.daemon.entry.EntryParts
-import io.teaselspring.daemon.link.LinkContext
-import io.teaselspring.daemon.link.LinkIdentity
 import io.teaselspring.daemon.settings.Settings
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineExceptionHandler
@@ -18,17 +10,15 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.runBlocking
 import org.slf4j.LoggerFactory
-import java.util.UUID
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.atomic.AtomicInteger
-import kotlin.io.path.readText
 import kotlin.system.exitProcess
 
 private val log = LoggerFactory.getLogger("io.teaselspring.daemon")
 
 private const val EXIT_FAILED = 1
 
-/** A started role. [addresses] are the bound ones by listener name. */
+/** A started role. [addresses] are the bound ones by listener; [drain] returns when all accepted work has ended. */
 internal class Running(
     val addresses: Map<String, String>,
     val drain: suspend () -> Unit,
@@ -55,7 +45,7 @@
         }
     try {
         runBlocking {
-            val running = start(settings, CoroutineScope(Dispatchers.Default + fatal))
+            val running = startRole(settings, CoroutineScope(Dispatchers.Default + fatal)) { stop.complete(Unit) }
             println("event=listening " + running.addresses.entries.joinToString(" ") { "${it.key}=${it.value}" })
             stop.await()
             running.drain()
@@ -67,35 +57,3 @@
     finished.countDown()
     exitProcess(exitCode.get())
 }
-
-private suspend fun start(
-    settings: Settings,
-    scope: CoroutineScope,
-): Running {
-    val links =
-        LinkContext(
-            LinkIdentity(
-                settings.instance,
-                Incarnation(UUID.randomUUID().toString()),
-                settings.role,
-                settings.dataCentre,
-                settings.agent?.upstream,
-                settings.agent?.models.orEmpty(),
-            ),
-            settings.sharedSecretFile
-                .readText()
-                .trim()
-                .encodeToByteArray(),
-            SelectorManager(Dispatchers.IO),
-        )
-    val agentSettings = settings.agent
-    return if (agentSettings != null) {
-        val agent = Agent(scope, agentSettings, links, settings.limits.streamIdleMs)
-        Running(mapOf("internal" to agent.start(settings.addresses.internal)), agent::drain)
-    } else {
-        val config = staticConfigSource(requireNotNull(settings.staticConfig) { "static_config is needed" })
-        val entry = Entry(scope, settings, links, EntryParts(config, { settings.seeds }))
-        val addresses = entry.start()
-        Running(mapOf("callers" to addresses.callers, "internal" to addresses.internal), entry::drain)
-    }
-}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/Roles.kt
@@ -0,0 +1,166 @@
+/*
+ * The two roles of the daemon, put together from their parts.
+ */
+package io.teaselspring.daemon
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.server.routing.Route
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import io.teaselspring.core.Incarnation
+import io.teaselspring.daemon.agent.Agent
+import io.teaselspring.daemon.agent.AgentParts
+import io.teaselspring.daemon.config.ConfigSource
+import io.teaselspring.daemon.config.staticConfigSource
+import io.teaselspring.daemon.control.ControlIdentity
+import io.teaselspring.daemon.control.EntryControl
+import io.teaselspring.daemon.entry.Entry
+import io.teaselspring.daemon.entry.EntryParts
+import io.teaselspring.daemon.entry.PeerHandler
+import io.teaselspring.daemon.link.Link
+import io.teaselspring.daemon.link.LinkContext
+import io.teaselspring.daemon.link.LinkIdentity
+import io.teaselspring.daemon.operations.OperatorParts
+import io.teaselspring.daemon.operations.OperatorServer
+import io.teaselspring.daemon.operations.putAgent
+import io.teaselspring.daemon.operations.putEntry
+import io.teaselspring.daemon.operations.stateDump
+import io.teaselspring.daemon.settings.AgentSettings
+import io.teaselspring.daemon.settings.Settings
+import io.teaselspring.platform.HttpPlatformSettings
+import io.teaselspring.platform.httpPlatform
+import io.teaselspring.protocol.Message
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.serialization.json.JsonObjectBuilder
+import java.util.UUID
+import kotlin.io.path.readText
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+
+private class Operations(
+    val registry: PrometheusRegistry,
+    val isReady: () -> Boolean,
+    val routes: Route.() -> Unit,
+    val state: JsonObjectBuilder.() -> Unit,
+)
+
+/** Starts the role of [settings] in [scope]. [requestDrain] is called when an operator asks for a drain. */
+internal suspend fun startRole(
+    settings: Settings,
+    scope: CoroutineScope,
+    requestDrain: () -> Unit,
+): Running {
+    val identity =
+        LinkIdentity(
+            settings.instance,
+            Incarnation(UUID.randomUUID().toString()),
+            settings.role,
+            settings.dataCentre,
+            settings.agent?.upstream,
+            settings.agent?.models.orEmpty(),
+        )
+    val agent = settings.agent
+    return if (agent == null) {
+        startEntry(settings, identity, scope, requestDrain)
+    } else {
+        startAgent(settings, agent, identity, scope, requestDrain)
+    }
+}
+
+private suspend fun startAgent(
+    settings: Settings,
+    agentSettings: AgentSettings,
+    identity: LinkIdentity,
+    scope: CoroutineScope,
+    requestDrain: () -> Unit,
+): Running {
+    val registry = PrometheusRegistry()
+    val links = settings.linkContext(identity) { Message.Versions(0, 0, 0) }
+    val agent = Agent(scope, agentSettings, links, settings.limits.streamIdleMs, AgentParts(registry = registry))
+    val internal = agent.start(settings.addresses.internal)
+    val operations =
+        Operations(registry, { agent.isReady }, {}) { putAgent(agent.summary(), agent.isReachable) }
+    val operators = startOperators(settings, identity, operations, requestDrain)
+    return Running(linkedMapOf("operators" to operators.first, "internal" to internal)) {
+        agent.drain()
+        operators.second.stop()
+    }
+}
+
+private suspend fun startEntry(
+    settings: Settings,
+    identity: LinkIdentity,
+    scope: CoroutineScope,
+    requestDrain: () -> Unit,
+): Running {
+    val registry = PrometheusRegistry()
+    val nowMs = TimeSource.Monotonic.milliseconds()
+    val control = settings.platformUrl?.let { settings.control(it, identity) }
+    val config: ConfigSource = control?.config ?: staticConfigSource(requireNotNull(settings.staticConfig))
+    val links = settings.linkContext(identity) { control?.versions() ?: Message.Versions(0, 0, 0) }
+    val parts =
+        EntryParts(
+            config = config,
+            directory = { control?.directory?.agentAddresses() ?: settings.seeds },
+            peers = control?.let(::peerHandler) ?: object : PeerHandler {},
+            nowMs = nowMs,
+            registry = registry,
+        )
+    val entry = Entry(scope, settings, links, parts)
+    control?.start(scope, links)
+    val addresses = entry.start()
+    val operations =
+        Operations(registry, { entry.isReady && config.mayServe() }, { control?.routes(this) }) {
+            putEntry(entry.summary(), config.view.value.version, nowMs())
+        }
+    val operators = startOperators(settings, identity, operations, requestDrain)
+    val bound =
+        linkedMapOf("callers" to addresses.callers, "operators" to operators.first, "internal" to addresses.internal)
+    return Running(bound) {
+        entry.drain()
+        operators.second.stop()
+    }
+}
+
+private fun Settings.control(
+    platformUrl: String,
+    identity: LinkIdentity,
+) = EntryControl(
+    ControlIdentity(instance, identity.incarnation, dataCentre, seeds, isolationLimitMs.milliseconds),
+    httpPlatform(HttpPlatformSettings(platformUrl)).platform,
+)
+
+private fun peerHandler(control: EntryControl) =
+    object : PeerHandler {
+        override suspend fun entryLink(link: Link) = control.entryLink(link)
+    }
+
+private suspend fun startOperators(
+    settings: Settings,
+    identity: LinkIdentity,
+    operations: Operations,
+    requestDrain: () -> Unit,
+): Pair<String, OperatorServer> {
+    val server =
+        OperatorServer(
+            OperatorParts(
+                operatorKeySha256 = settings.operatorKeySha256,
+                registry = operations.registry,
+                isReady = operations.isReady,
+                state = { stateDump(identity, operations.isReady(), operations.state) },
+                drain = requestDrain,
+                routes = operations.routes,
+            ),
+        )
+    return server.start(settings.addresses.operators) to server
+}
+
+private fun Settings.linkContext(
+    identity: LinkIdentity,
+    versions: () -> Message.Versions,
+) = LinkContext(
+    identity,
+    sharedSecretFile.readText().trim().encodeToByteArray(),
+    SelectorManager(Dispatchers.IO),
+    versions = versions,
+)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/Agent.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/Agent.kt
@@ -4,8 +4,8 @@
  */
 package io.teaselspring.daemon.agent
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.teaselspring.core.admission.AgentScheduler
-import io.teaselspring.core.admission.SchedulerLoad
 import io.teaselspring.core.admission.SchedulerPolicy
 import io.teaselspring.daemon.MonotonicMs
 import io.teaselspring.daemon.link.Link
@@ -17,7 +17,6 @@
 import io.teaselspring.daemon.usage.NoUsage
 import io.teaselspring.daemon.usage.UsageRecorder
 import io.teaselspring.protocol.CallKind
-import io.teaselspring.protocol.Message
 import io.teaselspring.protocol.Role
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
@@ -25,6 +24,7 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.yield
@@ -38,35 +38,19 @@
 
 private val log = LoggerFactory.getLogger("io.teaselspring.daemon.agent")
 
-/** Learns what an agent does, for metrics. Calls must not block. */
-interface AgentObserver {
-    /** The last message on an attempt is sent. */
-    fun answered(message: Message) = Unit
-
-    /** The load was reported. */
-    fun load(load: SchedulerLoad) = Unit
-
-    /** A run of a request of this kind ended as [result], with the tokens produced. */
-    fun runEnded(
-        kind: CallKind,
-        result: String,
-        completionTokens: Long,
-    ) = Unit
-
-    /** The upstream became reachable or unreachable. */
-    fun reachable(isReachable: Boolean) = Unit
-}
-
 /** What an agent needs besides its settings. */
 class AgentParts(
     val usage: UsageRecorder = NoUsage,
-    val observer: AgentObserver = object : AgentObserver {},
+    val registry: PrometheusRegistry = PrometheusRegistry(),
     val configVersion: () -> Long = { 0 },
     val clock: Clock = Clock.System,
     val nowMs: MonotonicMs = TimeSource.Monotonic.milliseconds(),
     val probeInterval: Duration = 1.seconds,
+    val probeLimit: Duration = 1.seconds,
     val connectLimit: Duration = 1.seconds,
-)
+) {
+    internal val observer = AgentMetrics(registry)
+}
 
 /** An agent beside the upstream of [settings]. It works within [scope] until that is cancelled. */
 class Agent(
@@ -92,8 +76,15 @@
     var isReachable: Boolean = false
         private set
 
+    @Volatile
+    private var isDraining = false
+
+    /** True while the agent takes work and its upstream can be reached. */
+    val isReady: Boolean get() = isReachable && !isDraining
+
     /** Starts the agent; returns the address that it accepts links on. */
     suspend fun start(internalAddress: String): String {
+        scope.coroutineContext.job.invokeOnCompletion { upstream.close() }
         scope.launch { loop.run() }
         scope.launch { probe() }
         return scope.listenForLinks(links, internalAddress, ::serve).also { listener = it }.address
@@ -102,6 +93,7 @@
     /** Takes no new work, waits until the accepted work has ended and its answers are sent, and closes all links. */
     suspend fun drain() {
         log.info("event=drain_started")
+        isDraining = true
         listener?.stopAccepting()
         loop.events.send(AgentEvent.Drain)
         loop.drained.await()
@@ -148,7 +140,7 @@
     private suspend fun probe() {
         var failures = 0
         while (true) {
-            val isHealthy = upstream.isHealthy(parts.probeInterval)
+            val isHealthy = upstream.isHealthy(parts.probeLimit)
             failures = if (isHealthy) 0 else failures + 1
             // One lost probe is not an outage; at the start nothing is known, so the first answer decides.
             val nowReachable = if (isHealthy) true else isReachable && failures < MAX_PROBE_FAILURES
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AttemptTable.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AttemptTable.kt
@@ -197,7 +197,7 @@
                 if (cause != StopCause.PREEMPTED) stopped(attempt, cause)
             }
         }
-        step(SchedulerEvent.Ended(attempt.id))
+        step(SchedulerEvent.Ended(attempt.id, completed = result == RunResult.Complete))
     }
 
     private fun notSent(
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/UpstreamClient.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/UpstreamClient.kt
@@ -33,6 +33,7 @@
 import io.teaselspring.daemon.http.toHeaderList
 import io.teaselspring.protocol.Message
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.buffer
@@ -91,9 +92,11 @@
         onToken: suspend () -> Unit,
     ): RunResult =
         guarded {
+            var execution: Job? = null
             try {
                 var result: RunResult? = null
                 client.sse(request = {
+                    execution = executionContext
                     prepare(attempt.submit, NOT_FOR_STREAMS)
                     if (attempt.nextOffset > 0) header("Last-Event-ID", (attempt.nextOffset - 1).toString())
                 }) {
@@ -108,6 +111,10 @@
                     response == null -> RunResult.Broken(e.message ?: "the event stream broke off")
                     else -> answerWithoutStream(attempt, response)
                 }
+            } finally {
+                // Until the response has begun the plugin runs the call in the client's scope, where a cancellation of
+                // this coroutine does not reach it; the engine would go on for nobody.
+                execution?.cancel()
             }
         }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/entry/AgentPool.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/AgentPool.kt
@@ -55,11 +55,18 @@
     private val peers: PeerHandler,
     private val nowMs: MonotonicMs,
 ) {
+    /** How fast the agents answer. */
+    val speeds = AgentSpeeds(nowMs)
+
     private val agents = ConcurrentHashMap<InstanceId, AgentLink>()
 
     /** What is known about each linked agent. */
     fun views(): List<AgentView> = agents.values.map { it.view }
 
+    /** True if a request sent to [agent] now is likely to wait in its queue. */
+    fun isBusy(agent: InstanceId): Boolean =
+        agents[agent]?.view?.run { running + queued + sentSinceReport >= limit } ?: true
+
     /** Keeps links to the agents in [directory] until the job is cancelled. */
     fun start(
         scope: CoroutineScope,
@@ -120,20 +127,6 @@
         agents[agent]?.change { copy(avoidUntilMs = nowMs() + forMs) }
     }
 
-    fun observeFirstToken(
-        agent: InstanceId,
-        tookMs: Long,
-    ) {
-        agents[agent]?.change { copy(firstTokenAverageMs = firstTokenAverageMs.averagedWith(tookMs)) }
-    }
-
-    fun observeBetweenTokens(
-        agent: InstanceId,
-        tookMs: Long,
-    ) {
-        agents[agent]?.change { copy(betweenTokensAverageMs = betweenTokensAverageMs.averagedWith(tookMs)) }
-    }
-
     /** Passes the withdrawal of [keyIds] to all agents. */
     fun withdraw(keyIds: Set<KeyId>) {
         agents.values.forEach { it.link.offer(Message.KeysWithdrawn(keyIds.toList())) }
@@ -155,6 +148,7 @@
             link.close()
             agents.remove(instance, agent)
             agent.open.keys.forEach { agent.lose(it) }
+            speeds.forget(instance)
             usage.agentLost(link.peer.incarnation)
         }
     }
@@ -177,7 +171,10 @@
             is Message.Accepted -> agent.deliver(message.requestId, message.attempt, message)
             is Message.Started -> agent.deliver(message.requestId, message.attempt, message)
             is Message.Chunk -> agent.deliver(message.requestId, message.attempt, message)
-            is Message.NotRun -> agent.finish(message.requestId, message.attempt, message, null)
+            is Message.NotRun -> {
+                agent.change { copy(sentSinceReport = maxOf(0, sentSinceReport - 1)) }
+                agent.finish(message.requestId, message.attempt, message, null)
+            }
             is Message.Finished -> agent.finish(message.requestId, message.attempt, message, message.usage)
             is Message.Failed -> agent.finish(message.requestId, message.attempt, message, message.usage)
             is Message.Load -> agent.report(message)
@@ -231,6 +228,4 @@
     private fun AgentLink.change(to: AgentView.() -> AgentView) {
         view = view.to()
     }
-
-    private fun Double?.averagedWith(tookMs: Long) = if (this == null) tookMs.toDouble() else this + (tookMs - this) / 8
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/entry/Entry.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/Entry.kt
@@ -4,6 +4,7 @@
 package io.teaselspring.daemon.entry
 
 import arrow.core.right
+import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.teaselspring.daemon.MonotonicMs
 import io.teaselspring.daemon.config.ConfigSource
 import io.teaselspring.daemon.link.Link
@@ -35,10 +36,10 @@
     val outcomes: OutcomeStore = NoOutcomeStore,
     val usage: ReceivedUsage = NoUsage,
     val peers: PeerHandler = object : PeerHandler {},
-    val retries: Retries = UnlimitedRetries,
     val nowMs: MonotonicMs = TimeSource.Monotonic.milliseconds(),
     val random: Random = Random.Default,
     val drainNotice: Duration = 2.seconds,
+    val registry: PrometheusRegistry = PrometheusRegistry(),
 )
 
 /** Where an entry listens, "IP:port". */
@@ -63,12 +64,12 @@
             home = settings.dataCentre,
             pool = pool,
             inboxes = inboxes,
-            retries = parts.retries,
+            retries = BudgetedRetries(parts.nowMs),
             withdrawnKeys = parts.config::withdrawnKeys,
             streamIdleMs = limits.streamIdleMs,
             nowMs = parts.nowMs,
             random = parts.random::nextInt,
-            observer = object : RequestObserver {},
+            observer = EntryMetrics(parts.registry, inboxes::size),
         )
     private val handler =
         CallerHandler(scope, parts.config, runs, parts.outcomes, limits, { {}.right() }, RequestIds()::next)
@@ -109,6 +110,9 @@
         log.info("event=drained")
     }
 
+    /** Closes the listener for callers and their connections at once. */
+    suspend fun close() = callers.stop()
+
     /** What the entry is doing, for the state dump. */
     fun summary(): EntrySummary = EntrySummary(inboxes.size, callers.inFlight, pool.views())
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/entry/EntryDefaults.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/EntryDefaults.kt
@@ -5,7 +5,6 @@
 
 import arrow.core.Either
 import arrow.core.left
-import io.teaselspring.core.OrganisationId
 import io.teaselspring.core.RequestId
 import io.teaselspring.core.choice.AgentView
 import java.security.SecureRandom
@@ -39,13 +38,6 @@
     ): Either<StoreUnavailable, Unit> = unavailable.left()
 }
 
-/** Allows every retry. */
-object UnlimitedRetries : Retries {
-    override fun spend(organisation: OrganisationId?): Boolean = true
-
-    override fun succeeded(organisation: OrganisationId?) = Unit
-}
-
 /** Random request ids. An agent's record relies on no two requests having the same id. */
 internal class RequestIds {
     private val random = SecureRandom()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/entry/RequestRun.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/RequestRun.kt
@@ -87,6 +87,7 @@
     private var lastEventMs = 0L
     private var isAccepted = false
     private var mayHaveRun = false
+    private var times: TokenTimes? = null
     private var head: AnswerPart.Head? = null
     private var isHeadSent = false
     private var nextOffset = 0L
@@ -118,12 +119,13 @@
 
     private fun choose(
         tried: Set<InstanceId>,
-        @Suppress("UNUSED_PARAMETER") displace: Boolean,
+        displace: Boolean,
         now: Long,
     ): InstanceId? {
         val to = request.destination
-        val choice = ChoiceRequest(to.upstream, to.model, request.serviceClass.tier, to.prefixHash)
-        return chooseAgent(context.pool.views(), choice, context.home, tried, now, context.random)
+        val choice = ChoiceRequest(to.upstream, to.model, request.serviceClass.tier, to.prefixHash, displace)
+        val views = context.pool.speeds.apply(to, context.pool.views())
+        return chooseAgent(views, choice, context.home, tried, now, context.random)
     }
 
     private suspend fun offer(next: DispatchAction.Offer): DispatchAction {
@@ -133,11 +135,16 @@
         isAccepted = false
         val submit = request.submit(next.attempt, next.displace, next.resumeOffset, offeredAtMs - arrivedAtMs)
         context.observer.offered(request, next)
+        context.pool.speeds.offered(request.destination, next.agent)
+        times = if (request.isChat) timesOn(next.agent) else null
         if (context.pool.submit(next.agent, submit)) return DispatchAction.Wait
         offer = null
         return step(DispatchEvent.NotSent)
     }
 
+    private fun timesOn(agent: InstanceId) =
+        TokenTimes(context.pool.speeds, request.destination, agent, nowMs, context.pool.isBusy(agent))
+
     private suspend fun awaitEvent(): DispatchAction? {
         val waitMs = minOf(deadlineMs + DEADLINE_GRACE_MS, attemptLimitMs()) - nowMs()
         val event = withTimeoutOrNull(maxOf(1, waitMs).milliseconds) { inbox.receive() }
@@ -201,9 +208,10 @@
             cancelOffer()
             return lost()
         }
-        observeToken()
+        val part = AnswerPart.Data(message.bytes)
+        if (nextOffset == 0L) context.observer.firstToken(request, nowMs() - arrivedAtMs)
         sendHead()
-        answer.emit(AnswerPart.Data(message.bytes))
+        times?.token { answer.emit(part) } ?: answer.emit(part)
         nextOffset += 1
         lastEventMs = nowMs()
         if (nextOffset % RECEIVED_INTERVAL == 0L) {
@@ -212,23 +220,6 @@
         return step(DispatchEvent.Progress(nextOffset))
     }
 
-    private var lastTokenMs: Long? = null
-
-    private fun observeToken() {
-        val current = offer ?: return
-        if (!request.isChat) return
-        val now = nowMs()
-        val last = lastTokenMs
-        when {
-            last != null -> context.pool.observeBetweenTokens(current.agent, now - last)
-            current.resumeOffset == 0L -> {
-                context.pool.observeFirstToken(current.agent, now - offeredAtMs)
-                context.observer.firstToken(request, now - arrivedAtMs)
-            }
-        }
-        lastTokenMs = now
-    }
-
     private suspend fun sendHead() {
         if (isHeadSent) return
         isHeadSent = true
@@ -260,7 +251,6 @@
     private fun lost(): DispatchAction {
         mayHaveRun = true
         offer = null
-        lastTokenMs = null
         return step(DispatchEvent.Lost)
     }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/link/LinkEndpoint.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/link/LinkEndpoint.kt
@@ -134,7 +134,8 @@
                 }
             }
         }
-    return LinkListener("${bound.hostname}:${bound.port}", socket, accepting)
+    // The host as it was given: the bound address would be looked up by name.
+    return LinkListener("${address.substringBeforeLast(':')}:${bound.port}", socket, accepting)
 }
 
 /**
--- /dev/null
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/operations/StateDump.kt
@@ -0,0 +1,66 @@
+/*
+ * The state dump for operators. It holds no secrets: no shared secret, no keys and no content of requests.
+ */
+package io.teaselspring.daemon.operations
+
+import io.teaselspring.core.choice.AgentView
+import io.teaselspring.daemon.entry.EntrySummary
+import io.teaselspring.daemon.link.LinkIdentity
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonObjectBuilder
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+
+/** The dump of a process, with what [more] adds. */
+fun stateDump(
+    identity: LinkIdentity,
+    isReady: Boolean,
+    more: JsonObjectBuilder.() -> Unit,
+): JsonObject =
+    buildJsonObject {
+        put("instance", identity.instance.value)
+        put("incarnation", identity.incarnation.value)
+        put("role", identity.role.name.lowercase())
+        put("data_centre", identity.dataCentre.value)
+        identity.upstream?.let { put("upstream", it.value) }
+        put("ready", isReady)
+        more()
+    }
+
+/** Adds what an entry is doing at [nowMs] of its monotonic clock. */
+fun JsonObjectBuilder.putEntry(
+    summary: EntrySummary,
+    configVersion: Long,
+    nowMs: Long,
+) {
+    put("config_version", configVersion)
+    put("running", summary.running)
+    put("in_flight", summary.inFlight)
+    put("agents", JsonArray(summary.agents.sortedBy { it.instance.value }.map { it.dump(nowMs) }))
+}
+
+/** Adds the figures of an agent. */
+fun JsonObjectBuilder.putAgent(
+    summary: Map<String, Long>,
+    isReachable: Boolean,
+) {
+    put("upstream_reachable", isReachable)
+    summary.forEach { (name, value) -> put(name, value) }
+}
+
+private fun AgentView.dump(nowMs: Long) =
+    buildJsonObject {
+        put("instance", instance.value)
+        put("data_centre", dataCentre.value)
+        put("upstream", upstream.value)
+        put("draining", draining)
+        put("running", running)
+        put("queued", queued)
+        put("limit", limit)
+        put("lowest_tier", lowestTier)
+        put("first_token_estimate_ms", firstTokenEstimateMs)
+        put("report_age_ms", nowMs - reportedAtMs)
+        put("sent_since_report", sentSinceReport)
+        put("avoided_for_ms", maxOf(0, avoidUntilMs - nowMs))
+    }
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/FakeUpstream.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/FakeUpstream.kt
@@ -42,7 +42,7 @@
     /** Number of tokens of each stream. */
     var tokens = 5
 
-    /** Streams break off before the event with this id. */
+    /** Streams end before the event with this id. */
     var cutBefore: Int? = null
 
     /** While set, each stream waits for it before the event with id [holdBefore]. */
@@ -105,7 +105,8 @@
         try {
             call.respondBytesWriter(ContentType.Text.EventStream) {
                 for (id in first..tokens) {
-                    if (id == cutBefore) error("cut")
+                    // A clean end of the response: a reset would also drop events that were sent before it.
+                    if (id == cutBefore) return@respondBytesWriter
                     if (id == holdBefore) gate?.await()
                     val usage =
                         if (id ==
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/Site.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/Site.kt
@@ -57,6 +57,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+// One for all tests: each occupies a thread of the dispatcher as long as it is open.
+private val selector = SelectorManager(Dispatchers.IO)
 private val engine = UpstreamName("ouate-llm")
 private val plain = UpstreamName("ouate-app")
 val MODEL = ModelName("laine-8b")
@@ -123,6 +125,7 @@
         }
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val agents = mutableListOf<RunningAgent>()
+    private val upstreams = mutableSetOf<FakeUpstream>()
     lateinit var entry: Entry
         private set
     lateinit var url: String
@@ -135,6 +138,7 @@
         maxQueued: Int = 4,
         usage: UsageRecorder = NoUsage,
     ): RunningAgent {
+        upstreams += upstream
         val name = if (plainService) plain else engine
         val models = if (plainService) emptyList() else listOf(MODEL)
         val agentScope = CoroutineScope(SupervisorJob(scope.coroutineContext[Job]) + Dispatchers.Default)
@@ -173,6 +177,7 @@
         entry = Entry(scope, settings, links("entry-1", Role.ENTRY, null, emptyList()), parts)
         url = "http://" + entry.start().callers
         eventually { entry.summary().agents.size shouldBe agents.size }
+        eventually { agents.all { it.agent.isReachable } shouldBe true }
     }
 
     private fun links(
@@ -183,7 +188,7 @@
     ) = LinkContext(
         LinkIdentity(InstanceId(instance), Incarnation("i-$instance"), role, DataCentre("casa-a"), upstream, models),
         "shared".toByteArray(),
-        SelectorManager(Dispatchers.IO),
+        selector,
     )
 
     suspend fun chat(
@@ -209,8 +214,10 @@
         }
 
     suspend fun close() {
+        entry.close()
         scope.cancel()
         client.close()
+        upstreams.forEach { it.stop() }
     }
 }
 
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/link/LinkTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/link/LinkTest.kt
@@ -35,6 +35,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+private val selector = SelectorManager(Dispatchers.IO)
+
 private fun context(
     role: Role,
     secret: String = "shared",
@@ -42,7 +44,7 @@
 ) = LinkContext(
     LinkIdentity(InstanceId(role.name.lowercase()), Incarnation("1"), role, DataCentre("casa-a")),
     secret.toByteArray(),
-    SelectorManager(Dispatchers.IO),
+    selector,
     limits,
 )
 
@@ -153,7 +155,6 @@
             withScope {
                 val limits = LinkLimits(handshake = 50.milliseconds)
                 val listener = listenForLinks(context(Role.AGENT, limits = limits), "127.0.0.1:0") {}
-                val selector = SelectorManager(Dispatchers.IO)
                 aSocket(selector).tcp().connect("127.0.0.1", listener.port()).use { socket ->
                     val input = socket.openReadChannel()
                     input.readMessage()
