Wait for the agents' first health probe in the request path tests

RequestPathTest failed with 503 twice in two runs once the scheduler obeyed UpstreamReachable: the probe limit of 100 ms in the tests is shorter than the first HTTP call of a cold JVM, so the agent refused as unreachable, which is what it should do. The tests now wait until the agents are reachable, and an agent shows itself reachable only after its scheduler was told.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/Agent.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/Agent.kt
@@ -159,9 +159,10 @@
 
     private suspend fun change(nowReachable: Boolean) {
         if (nowReachable != isReachable) log.info("event=upstream reachable={}", nowReachable)
+        loop.events.send(AgentEvent.Reachable(nowReachable))
+        // Set last, so that whoever sees the agent as reachable finds its scheduler told.
         isReachable = nowReachable
         parts.observer.reachable(nowReachable)
-        loop.events.send(AgentEvent.Reachable(nowReachable))
     }
 
     private companion object {
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/Site.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/Site.kt
@@ -173,6 +173,8 @@
         entry = Entry(scope, settings, links("entry-1", Role.ENTRY, null, emptyList()), parts)
         url = "http://" + entry.start().callers
         eventually { entry.summary().agents.size shouldBe agents.size }
+        // The first health probe of a cold process may time out, and until it succeeds the agent refuses.
+        eventually { agents.all { it.agent.isReachable } shouldBe true }
     }
 
     private fun links(
