Add the pure parts of leases, usage, outcomes and orders

These decisions must hold whatever is delayed, lost or paused, so they are state machines and functions without I/O, tested by random runs.

The lease never compares clocks of two processes: a successor waits from the moment at which it first saw the row. A jump between monotonic and wall clock ends the lease until it is taken anew. Usage needs no count of "who is alive": an agent's flush and an entry's takeover both change the agent's latest row under its version, so exactly one of them stores a record. Sealing every row before a window is frozen was ruled out for one row that closes the window and that each flush checks.

--- /dev/null
+++ b/core/src/main/kotlin/io/teaselspring/core/usage/EntryCopies.kt
@@ -0,0 +1,109 @@
+/*
+ * An entry's copies of records that their agents have not stored yet. When an agent is gone, the entry stores its
+ * copies itself, by a transaction that also extends the coverage in the agent's last row.
+ */
+package io.teaselspring.core.usage
+
+import io.teaselspring.core.Incarnation
+
+/** The copies that an entry takes over from the agent [agent], whose row is [agentRow]. */
+public data class Takeover(
+    val agent: Incarnation,
+    val agentRow: StoredAgentRow,
+    val items: List<UsageItem>,
+)
+
+/** The copies of the entry [own]. [goneAfterMs] is how long an agent has no link before it counts as gone. */
+public class EntryCopies(
+    private val own: Incarnation,
+    private val goneAfterMs: Long = 30_000,
+) {
+    private val items = HashMap<Incarnation, MutableList<UsageItem>>()
+    private val lostAtMs = HashMap<Incarnation, Long>()
+
+    /** Number of copies kept. */
+    public val openCount: Int get() = items.values.sumOf { it.size }
+
+    /** A record of [agent] arrived. */
+    public fun received(
+        agent: Incarnation,
+        item: UsageItem,
+    ) {
+        lostAtMs.remove(agent)
+        items.getOrPut(agent) { mutableListOf() } += item
+    }
+
+    /** [agent] has stored everything up to [sequence]. */
+    public fun flushed(
+        agent: Incarnation,
+        sequence: Long,
+    ) {
+        lostAtMs.remove(agent)
+        dropCovered(agent, Coverage(sequence))
+    }
+
+    /** The link to [agent] was lost at [nowMs]. */
+    public fun lost(
+        agent: Incarnation,
+        nowMs: Long,
+    ) {
+        if (agent in items) lostAtMs.putIfAbsent(agent, nowMs)
+    }
+
+    /** Agents that are gone at [nowMs] and have copies here. */
+    public fun gone(nowMs: Long): List<Incarnation> =
+        lostAtMs.filter { nowMs - it.value >= goneAfterMs && it.key in items }.keys.toList()
+
+    /** What to take over from [agent], whose latest row is [row]; null if the agent stored it all. */
+    public fun takeover(
+        agent: Incarnation,
+        row: StoredAgentRow,
+    ): Takeover? {
+        dropCovered(agent, row.row.coverage[own] ?: Coverage())
+        return items[agent]?.let { Takeover(agent, row, it.toList()) }
+    }
+
+    /** The takeover is stored. */
+    public fun taken(takeover: Takeover) {
+        val sequences = takeover.items.map { it.sequence }.toSet()
+        drop(takeover.agent) { it.sequence in sequences }
+    }
+
+    /** The agent's row with the records of [takeover] covered. */
+    public fun coveredRow(
+        takeover: Takeover,
+        flushId: String,
+    ): AgentUsageRow {
+        val row = takeover.agentRow.row
+        val covered = (row.coverage[own] ?: Coverage()).with(takeover.items.map { it.sequence })
+        return row.copy(flushId = flushId, coverage = row.coverage + (own to covered))
+    }
+
+    private fun dropCovered(
+        agent: Incarnation,
+        coverage: Coverage,
+    ) = drop(agent) { it.sequence in coverage }
+
+    private fun drop(
+        agent: Incarnation,
+        covered: (UsageItem) -> Boolean,
+    ) {
+        val kept = items[agent] ?: return
+        kept.removeAll(covered)
+        if (kept.isEmpty()) {
+            items.remove(agent)
+            lostAtMs.remove(agent)
+        }
+    }
+}
+
+/** The entry's row of [window] with the records of [takeover] added. */
+public fun EntryUsageRow?.with(
+    takeover: Takeover,
+    window: UsageWindow,
+    lengthMs: Long,
+    flushId: String,
+): EntryUsageRow {
+    val added = takeover.items.map { it.asCount(late = usageWindowOf(it.finishedAtMs, lengthMs) < window) }
+    return EntryUsageRow(flushId, mergedCounts(this?.counts.orEmpty() + added))
+}
--- /dev/null
+++ b/core/src/test/kotlin/io/teaselspring/core/lease/LeaseTest.kt
@@ -0,0 +1,171 @@
+package io.teaselspring.core.lease
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.shouldBe
+import io.teaselspring.core.Incarnation
+import kotlin.random.Random
+
+/** A process on the simulated time [trueMs]; its clocks run at [rate] and it may be paused. */
+private class Candidate(
+    val name: String,
+    val rate: Double,
+    val offsetMs: Long,
+) {
+    var serial = 0
+    val lease = Lease(Incarnation(name), LeaseTimes()) { "$name-${++serial}" }
+    var pausedUntilMs = 0L
+    var wallStepMs = 0L
+
+    fun reading(trueMs: Long): ClockReading {
+        val monotonicMs = offsetMs + (trueMs * rate).toLong()
+        return ClockReading(monotonicMs, monotonicMs + wallStepMs)
+    }
+}
+
+private class Delivery(
+    val atMs: Long,
+    val run: (Long) -> Unit,
+)
+
+/** Several candidates for one row, with delays, lost messages, pauses and outages drawn from [random]. */
+private class LeaseRun(
+    private val random: Random,
+) {
+    val candidates = List(3) { Candidate("p$it", 0.98 + 0.02 * it, random.nextLong(1_000_000)) }
+    private var row: LeaseRow? = null
+    private var rowVersion = 0L
+    private val deliveries = mutableListOf<Delivery>()
+    private var outageUntilMs = 0L
+
+    /** (time, epoch, name) of each moment at which a process found that it may send. */
+    val sends = mutableListOf<Triple<Long, Long, String>>()
+
+    fun run(untilMs: Long) {
+        for (nowMs in 0..untilMs step 50) {
+            if (random.nextInt(4000) == 0) outageUntilMs = nowMs + random.nextLong(20_000)
+            deliveries.filter { it.atMs <= nowMs }.also { deliveries.removeAll(it) }.forEach { it.run(nowMs) }
+            candidates.filter { it.pausedUntilMs <= nowMs }.forEach { act(it, nowMs) }
+        }
+    }
+
+    private fun act(
+        candidate: Candidate,
+        nowMs: Long,
+    ) {
+        if (random.nextInt(600) == 0) candidate.pausedUntilMs = nowMs + random.nextLong(25_000)
+        if (random.nextInt(3000) == 0) candidate.wallStepMs += random.nextLong(-5_000, 5_000)
+        candidate.lease.epochToSend(candidate.reading(nowMs))?.let { sends += Triple(nowMs, it, candidate.name) }
+        step(candidate, LeaseEvent.Tick, nowMs)
+    }
+
+    private fun step(
+        candidate: Candidate,
+        event: LeaseEvent,
+        nowMs: Long,
+    ) {
+        candidate.lease.step(event, candidate.reading(nowMs)).forEach { action ->
+            when (action) {
+                LeaseAction.Read -> exchange(candidate, nowMs) { LeaseEvent.Read(row, rowVersion) }
+                is LeaseAction.Write -> exchange(candidate, nowMs) { write(action) }
+                else -> Unit
+            }
+        }
+    }
+
+    private fun write(action: LeaseAction.Write): LeaseEvent {
+        if (action.ifVersion != rowVersion) return LeaseEvent.WriteUnclear
+        row = action.row
+        rowVersion += 1
+        return LeaseEvent.Written(rowVersion)
+    }
+
+    /** Carries a call to the store and back; a process that is paused gets the answer when it runs again. */
+    private fun exchange(
+        candidate: Candidate,
+        nowMs: Long,
+        call: () -> LeaseEvent,
+    ) {
+        val isLostBefore = random.nextInt(12) == 0
+        val isLostAfter = random.nextInt(12) == 0
+        deliveries +=
+            Delivery(nowMs + random.nextLong(1, 1500)) { atMs ->
+                val result = if (isLostBefore || atMs < outageUntilMs) null else call()
+                val answer = if (result == null || isLostAfter) LeaseEvent.WriteUnclear else result
+                answer(candidate, answer, atMs + random.nextLong(1, 1500))
+            }
+    }
+
+    private fun answer(
+        candidate: Candidate,
+        event: LeaseEvent,
+        atMs: Long,
+    ) {
+        deliveries +=
+            Delivery(atMs) { nowMs ->
+                if (candidate.pausedUntilMs > nowMs) {
+                    answer(candidate, event, candidate.pausedUntilMs)
+                } else {
+                    step(candidate, event, nowMs)
+                }
+            }
+    }
+}
+
+// Guards against two processes that both act under one lease.
+class LeaseTest :
+    FunSpec({
+        test("over 300 seeds no two processes may send within an order's deadline, and epochs only rise") {
+            var takeovers = 0
+            repeat(300) { seed ->
+                val run = LeaseRun(Random(seed)).apply { run(180_000) }
+                run.sends.zipWithNext().forEach { (before, after) ->
+                    (after.second >= before.second) shouldBe true
+                    if (after.third != before.third) {
+                        takeovers += 1
+                        (after.second > before.second) shouldBe true
+                        after.first - before.first shouldBeGreaterThan LeaseTimes().orderDeadlineMs
+                    }
+                }
+            }
+            takeovers shouldBeGreaterThan 300
+        }
+
+        test("the holder counts from before it sent the write and stops 2 s before the lease ends") {
+            val lease = Lease(Incarnation("a"), LeaseTimes()) { "w" }
+
+            fun at(ms: Long) = ClockReading(ms, ms)
+            lease.step(LeaseEvent.Tick, at(0)) shouldBe listOf(LeaseAction.Read)
+            val write = lease.step(LeaseEvent.Read(null, 0), at(100)).single() as LeaseAction.Write
+            write.ifVersion shouldBe 0
+            lease.step(LeaseEvent.Written(1), at(2_000)) shouldBe listOf(LeaseAction.Began(1))
+            lease.epochToSend(at(8_099)) shouldBe 1
+            lease.epochToSend(at(8_100)).shouldBeNull()
+        }
+
+        test("a clock that jumps ends the lease until it is taken anew under a higher epoch") {
+            val lease = Lease(Incarnation("a"), LeaseTimes()) { "w" }
+            lease.step(LeaseEvent.Tick, ClockReading(0, 0))
+            lease.step(LeaseEvent.Read(null, 0), ClockReading(0, 0))
+            lease.step(LeaseEvent.Written(1), ClockReading(10, 10))
+            lease.epochToSend(ClockReading(1_000, 9_000)).shouldBeNull()
+            val actions = lease.step(LeaseEvent.Tick, ClockReading(1_000, 9_000))
+            actions.first() shouldBe LeaseAction.Ended(1, "clock jump")
+            (actions.last() as LeaseAction.Write).row.epoch shouldBe 2
+        }
+
+        test("a lease that is given up is free after the deadline of the last order") {
+            val lease = Lease(Incarnation("a"), LeaseTimes()) { "w" }
+
+            fun at(ms: Long) = ClockReading(ms, ms)
+            lease.step(LeaseEvent.Tick, at(0))
+            lease.step(LeaseEvent.Read(null, 0), at(0))
+            lease.step(LeaseEvent.Written(1), at(10))
+            lease.step(LeaseEvent.Resign, at(20)) shouldBe listOf(LeaseAction.Ended(1, "resigned"))
+            lease.epochToSend(at(20)).shouldBeNull()
+            lease.step(LeaseEvent.Tick, at(1_019)) shouldBe emptyList()
+            lease.step(LeaseEvent.Tick, at(1_020)) shouldBe listOf(LeaseAction.Write(LeaseRow(null, 1, "w"), 1))
+        }
+    })
--- /dev/null
+++ b/core/src/test/kotlin/io/teaselspring/core/outcome/OutcomeRowTest.kt
@@ -0,0 +1,29 @@
+package io.teaselspring.core.outcome
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import io.teaselspring.core.Incarnation
+import io.teaselspring.core.OrganisationId
+import io.teaselspring.core.RequestId
+
+// Guards against a repeat that runs a second time or gets the answer to another request.
+class OutcomeRowTest :
+    FunSpec({
+        val claim = OutcomeRow(RequestId("r1"), Incarnation("e"), "f", 0)
+        val answer = OutcomeAnswer(200, emptyList(), "")
+
+        test("only the request that holds the claim may run, and only until it was answered") {
+            claim.foundBy(RequestId("r1"), "f") shouldBe OutcomeFound.OwnClaim
+            claim.foundBy(RequestId("r2"), "f") shouldBe OutcomeFound.Unknown
+            claim.foundBy(RequestId("r2"), "g") shouldBe OutcomeFound.OtherRequest
+            claim.copy(answer = answer).foundBy(RequestId("r1"), "f") shouldBe OutcomeFound.Answered(answer)
+        }
+
+        test("different keys and organisations never share a row") {
+            val acme = OrganisationId("acme")
+            val keys = listOf("a", "a/b", "a%2Fb", "x".repeat(200), "", "sha256:")
+            (keys.map { outcomeRowKey(acme, it) } + keys.map { outcomeRowKey(null, it) }).toSet().size shouldBe 12
+            outcomeRowKey(acme, "b") shouldNotBe outcomeRowKey(OrganisationId("acme2"), "b")
+        }
+    })
