--- /dev/null
+++ b/model/src/test/kotlin/io/teaselspring/model/LeaseModelTest.kt
@@ -0,0 +1,60 @@
+/*
+ * Checks the lease, the orders and the usage reports of src/main/tla/Lease.tla, and that the check is able to fail:
+ * each broken variant takes one protection away, and TLC has to refute it.
+ */
+package io.teaselspring.model
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+
+class LeaseModelTest :
+    FunSpec({
+        fun check(
+            name: String,
+            changes: Map<String, String>,
+            violated: String? = null,
+            invariants: List<String>? = null,
+        ) = test(name) {
+            val result = checkModel(name, "Lease", changes, invariants ?: violated?.let(::listOf))
+            withClue(result.output) {
+                result.violated shouldBe violated
+                result.exitCode shouldBe if (violated == null) 0 else INVARIANT_FAILED
+            }
+        }
+
+        val reports = mapOf("MaxOrders" to "0")
+        val noRenewal = mapOf("MaxWrites" to "2")
+        val oneClock = noRenewal + ("MaxSkew" to "0")
+        val pause = oneClock + ("PauseBeforeSend" to "TRUE")
+        val checksEpoch = mapOf("ChecksEpoch" to "TRUE")
+        val epochs = listOf("OneHolder", "NoOlderOrder", "NumberedOnce", "OneFigure")
+
+        check("I6 no two holders send orders in the same period", emptyMap())
+        check("I7 no two holders report, and no window has two figures", reports)
+        check(
+            "I6 a pause before the send leaves older orders out at a receiver that checks epochs",
+            pause + checksEpoch,
+            invariants = epochs,
+        )
+
+        check(
+            "refuted: no margin before the expiry",
+            noRenewal + mapOf("Margin" to "0", "Wait" to "1"),
+            "OneHolderEvenLate",
+        )
+        check("refuted: a new holder sends without waiting", noRenewal + ("Wait" to "0"), "OneHolderEvenLate")
+        check(
+            "refuted: the lease counts from the answer",
+            oneClock + ("CountFromAnswer" to "TRUE"),
+            "OneHolderEvenLate",
+        )
+        check("refuted: orders are not recorded first", oneClock + ("RecordFirst" to "FALSE"), "NumberedOnce")
+        check("refuted: the window is not frozen first", reports + oneClock + ("FreezeFirst" to "FALSE"), "OneFigure")
+        check("left open: an order that a pause made late overlaps", pause, "OneHolderEvenLate")
+        check(
+            "left open: an order that a pause made late is applied where epochs are not checked",
+            pause,
+            "NoOlderOrder",
+        )
+    })
