--- a/core/src/main/kotlin/io/teaselspring/core/config/ConfigDocument.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/config/ConfigDocument.kt
@@ -81,13 +81,9 @@
         listOf("GET", "HEAD", "OPTIONS", "PUT", "DELETE"),
 )
 
-/**
- * Limits on what the system does by itself. [usageWindowMs] is the length of a usage window; windows start at multiples
- * of it since the epoch of the wall clock. [maxOrderStep] is the largest change of an upstream's count by one order.
- */
+/** Limits on what the system does by itself. [maxOrderStep] is the largest change of a count by one order. */
 @Serializable
 public data class Limits(
-    @SerialName("usage_window_ms") val usageWindowMs: Long = 3_600_000,
     @SerialName("max_order_step") val maxOrderStep: Int = 4,
 )
 
--- a/core/src/main/kotlin/io/teaselspring/core/config/DocumentSchema.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/config/DocumentSchema.kt
@@ -9,7 +9,6 @@
 import kotlinx.serialization.json.decodeFromJsonElement
 
 private const val LONGEST_TARGET_MS = 3_600_000L
-private const val LONGEST_WINDOW_MS = 86_400_000L
 private const val MAX_COUNT = 10_000L
 private val HOUR = integer(0L..24L)
 private val METHOD = text("an HTTP method in capital letters") { it.matches(Regex("[A-Z]{1,20}")) }
@@ -45,7 +44,6 @@
 
 private val limits =
     fields(
-        "usage_window_ms" to optional(milliseconds(60_000L..LONGEST_WINDOW_MS)),
         "max_order_step" to optional(integer(1L..MAX_COUNT)),
     )
 
