--- a/daemon/src/main/kotlin/io/teaselspring/daemon/membership/ControlPeers.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/membership/ControlPeers.kt
@@ -58,6 +58,9 @@
         if (result.learnedConfig) announce()
     }
 
+    /** Tells all linked entries that this process leaves. */
+    fun sayGoodbye() = links.forEach { it.offer(Message.Goodbye) }
+
     /** Tells a few random entries what this process knows. */
     fun announce() {
         val versions = exchange.versions()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/membership/Directory.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/membership/Directory.kt
@@ -60,14 +60,13 @@
             it.state == InstanceState.LIVE && id != own && id !in departed
         }
 
-    /** All instances in the list, leaving ones included, or null if none was ever read. */
+    /** The live agents, or null if no list was ever read. */
     @Synchronized
-    fun all(): List<ListedInstance>? = listed
+    fun agents(): List<ListedInstance>? = listed?.let { live().filter { it.role == AGENT_ROLE } }
 
     /** Internal addresses of agents. Without a list these are the seeds; a seed that is an entry is linked as such. */
     @Synchronized
-    fun agentAddresses(): List<String> =
-        if (listed == null) seeds else live().filter { it.role == AGENT_ROLE }.map { it.internalAddress }.distinct()
+    fun agentAddresses(): List<String> = agents()?.map { it.internalAddress }?.distinct() ?: seeds
 
     /** Other live entries. */
     fun entries(): List<ListedInstance> = live().filter { it.role == ENTRY_ROLE }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/settings/Settings.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/settings/Settings.kt
@@ -10,7 +10,10 @@
 import io.teaselspring.protocol.Role
 import java.nio.file.Path
 
-/** Settings of one process. Addresses are "IP:port", where port 0 lets the system choose for a listener. */
+/**
+ * Settings of one process. Addresses are "IP:port", where port 0 lets the system choose for a listener.
+ * [usageWindowMs], the length of a usage window, must be the same in all processes.
+ */
 data class Settings(
     val role: Role,
     val instance: InstanceId,
@@ -26,6 +29,7 @@
     val agent: AgentSettings?,
     val callersTls: TlsFiles?,
     val staticConfig: Path?,
+    val usageWindowMs: Long = 3_600_000,
 )
 
 /** Addresses that this process listens on; [callers] is present for entries only. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/settings/SettingsReader.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/settings/SettingsReader.kt
@@ -86,6 +86,7 @@
             seeds = texts("seeds", "a list of \"IP:port\"") { isAddress(it, anyPort = false) },
             limits = inner("limits") { requestLimits() } ?: RequestLimits(),
             isolationLimitMs = number("isolation_limit_ms", 1_000L..86_400_000L, 600_000),
+            usageWindowMs = number("usage_window_ms", 10_000L..86_400_000L, 3_600_000),
             agent = if (role == Role.AGENT) agentSettings() else null,
             callersTls = if (role == Role.ENTRY) tlsFiles() else null,
             staticConfig = optional("static_config") { readableFile(it) },
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/usage/AgentUsage.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/usage/AgentUsage.kt
@@ -13,7 +13,6 @@
 import io.teaselspring.core.usage.FlushPlan
 import io.teaselspring.core.usage.StoredAgentRow
 import io.teaselspring.core.usage.UsageItem
-import io.teaselspring.core.usage.UsageWindow
 import io.teaselspring.core.usage.usageWindowOf
 import io.teaselspring.platform.PlatformError
 import io.teaselspring.platform.describe
@@ -21,7 +20,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
-import kotlinx.serialization.json.JsonObject
 import org.slf4j.LoggerFactory
 import java.util.UUID
 import kotlin.random.Random
@@ -118,6 +116,3 @@
 
     private fun nowMs() = clock.now().toEpochMilliseconds()
 }
-
-private suspend fun UsageTable.isClosed(window: UsageWindow): Either<PlatformError, Boolean> =
-    read<JsonObject>(closedKey(window)).map { it != null }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/usage/UsageTable.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/usage/UsageTable.kt
@@ -117,6 +117,10 @@
         return table.put(TABLE, closedKey(window), body, ABSENT).map { }.orIfConflict { Unit.right() }
     }
 
+    /** Whether [window] takes no more usage. */
+    suspend fun isClosed(window: UsageWindow): Either<PlatformError, Boolean> =
+        table.get(TABLE, closedKey(window)).map { it != null }
+
     /** The merged counts of all rows of [window], which must be closed. */
     suspend fun sum(window: UsageWindow): Either<PlatformError, List<UsageCount>> {
         val agents = counts<AgentUsageRow>("usage/${window.id}/agent/") { it.counts }.getOrElse { return it.left() }
