Send documents between entries as text

A run with two real entries showed that a change of the base closed the link to the other entry: JsonObject serializes in the JSON format only, and messages are CBOR. Entries still converged through the store, so the fault showed in the log alone; the exchange test had used changes of organisations only. PortableJsonSerializer writes the object itself in JSON and its text elsewhere, and a test sends every kind of change through both encodings.

Links are now kept in the order in which they opened, so that the seeded mesh test gives the same figures each time.

--- a/core/src/main/kotlin/io/teaselspring/core/config/ConfigChange.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/config/ConfigChange.kt
@@ -18,7 +18,7 @@
     @Serializable
     @SerialName("base")
     public data class PutBase(
-        val value: JsonObject,
+        @Serializable(PortableJsonSerializer::class) val value: JsonObject,
     ) : ConfigEdit
 
     /** Replaces or deletes the overlay of one data centre. */
@@ -26,7 +26,7 @@
     @SerialName("overlay")
     public data class PutOverlay(
         @SerialName("data_centre") val dataCentre: DataCentre,
-        val value: JsonObject?,
+        @Serializable(PortableJsonSerializer::class) val value: JsonObject?,
     ) : ConfigEdit
 
     /** Replaces or deletes an organisation. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/membership/ControlPeers.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/membership/ControlPeers.kt
@@ -11,7 +11,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -31,7 +31,8 @@
     private val exchange: ConfigExchange,
     private val random: Random,
 ) {
-    private val links = ConcurrentHashMap.newKeySet<PeerLink>()
+    // In the order in which they opened, so that a seeded run chooses the same ones each time.
+    private val links = CopyOnWriteArrayList<PeerLink>()
 
     /** The entries that have an open link. */
     fun linked(): Set<InstanceId> = links.map { it.instance }.toSet()
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/config/ConfigExchangeTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/config/ConfigExchangeTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import io.teaselspring.core.DataCentre
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.KeyId
 import io.teaselspring.core.OrganisationId
@@ -17,7 +18,10 @@
 import io.teaselspring.daemon.membership.PeerLink
 import io.teaselspring.protocol.MAX_FRAME_BYTES
 import io.teaselspring.protocol.Message
+import io.teaselspring.protocol.decodeMessage
 import io.teaselspring.protocol.encode
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
 import java.util.PriorityQueue
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -141,6 +145,24 @@
             }
         }
 
+        test("every kind of change reaches a peer through the encoding between processes and the table") {
+            val document = Json.parseToJsonElement("""{"a": {"b": [1, null, "x"]}}""") as JsonObject
+            val key = ApiKey(OrganisationId("o1"), sha256Hex("s"), 1, 2)
+            val edits =
+                listOf(
+                    ConfigEdit.PutBase(document),
+                    ConfigEdit.PutOverlay(DataCentre("oviedo"), document),
+                    ConfigEdit.PutOverlay(DataCentre("gijon"), null),
+                    ConfigEdit.PutOrganisation(OrganisationId("o1"), Organisation(2, 0.5, 3)),
+                    ConfigEdit.PutOrganisation(OrganisationId("o2"), null),
+                    ConfigEdit.PutKey(KeyId("k"), key),
+                )
+            val change = ConfigChange(1, "c", "a", 5, edits)
+            val message = Message.ConfigChanges(listOf(change))
+            decodeMessage(message.encode()) shouldBe message
+            Json.decodeFromString<ConfigChange>(Json.encodeToString(change)) shouldBe change
+        }
+
         test("an entry that knows nothing learns the whole state from a peer while the store is down") {
             val mesh = Mesh(2, 1, Random(1))
             repeat(150) { mesh.entries[0].holder.apply(listOf(change(it + 1L))) }
