Displace in time, resume preempted work first, learn the batch limit

Cause, from traces of the missed requests: short answers were accepted next to running narratives, waited to the end of their target and were then displaced too late; the batch limit started at its maximum and let a burst in before it had seen what such a batch does; preempted streams waited behind newer work of other organisations until their deadline; each entry's probes of a straggler were requests of the highest tier.

Change: queued work is given up 200 ms before it is late where lower tiers exist, so that the displacing pass can still place it. The predicted wait used for refusals is the 99 % quantile of the time that the releases take. The limit is bounded by the batch that has held the targets and by proportion to it. Preempted work starts first in its class. The highest tier leaves probes to the others for 15 s.

--- a/core/src/main/kotlin/io/teaselspring/core/admission/AgentScheduler.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/admission/AgentScheduler.kt
@@ -258,19 +258,40 @@
         if (attempt.started) stop(attempt, cause, actions) else drop(attempt, reason, nowMs, actions)
     }
 
-    /** Refuses queued work that cannot meet its first-token target even if it started now. */
+    /**
+     * Gives up queued work that is about to miss its first-token target. Where lower tiers exist it is given up early
+     * enough to displace them, here if its offer allows it and otherwise by the entry's displacing pass.
+     */
     private fun refuseLate(
         nowMs: Long,
         actions: MutableList<SchedulerAction>,
     ) {
         if (freeSlots() > 0) return
         for (share in classes.all()) {
-            while (share.fresh.isNotEmpty() && isLate(share.fresh.first(), nowMs)) {
-                drop(share.fresh.first(), RefusalReason.TOO_LATE, nowMs, actions)
+            if (share.fresh.isEmpty()) continue
+            val marginMs = if (share.tier < classes.tiers.lastKey()) DISPLACEMENT_MS else 0
+            while (share.fresh.isNotEmpty() && isLate(share.fresh.first(), nowMs + marginMs)) {
+                if (!rescue(share.fresh.first(), nowMs, actions)) break
             }
         }
     }
 
+    /** Ends the wait of [late] and returns true, or keeps it because a slot is being freed for it. */
+    private fun rescue(
+        late: Attempt,
+        nowMs: Long,
+        actions: MutableList<SchedulerAction>,
+    ): Boolean {
+        val victim = if (late.request.displace) preemptable(running.values, late.request.tier).firstOrNull() else null
+        if (victim == null) {
+            if (late.request.displace && !isLate(late, nowMs)) return false
+            drop(late, RefusalReason.TOO_LATE, nowMs, actions)
+            return true
+        }
+        if (stoppingForPreemption() == 0) stop(victim, StopCause.PREEMPTED, actions)
+        return false
+    }
+
     private fun isLate(
         attempt: Attempt,
         nowMs: Long,
@@ -336,5 +357,8 @@
     private companion object {
         /** Wait named in refusals that no capacity on this agent would change. */
         const val SETTLED_RETRY_AFTER_MS = 1000L
+
+        /** Time to be refused by every agent, displace lower-tier work and read the prompt. */
+        const val DISPLACEMENT_MS = 200L
     }
 }
--- a/core/src/main/kotlin/io/teaselspring/core/admission/BatchLimit.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/admission/BatchLimit.kt
@@ -1,10 +1,10 @@
 /*
  * The batch limit of one upstream. A larger batch produces more tokens in all but slows each stream, so the limit grows
- * by one while the between-tokens targets hold and shrinks by a fixed factor when they do not.
+ * while the between-tokens targets hold and shrinks by a factor when they do not.
  */
 package io.teaselspring.core.admission
 
-/** Additive increase and multiplicative decrease between 1 and [maximum], from the token intervals of what runs. */
+/** Increase and multiplicative decrease between 1 and [maximum], from the token intervals of what runs. */
 internal class BatchLimit(
     private val maximum: Int,
 ) {
@@ -12,6 +12,9 @@
     private var ratioSum = 0.0
     private var windowStartMs = 0L
 
+    /** The largest batch that has held the targets since they were last missed. */
+    private var proven = 0
+
     var value: Int = maximum
         private set
 
@@ -36,9 +39,13 @@
         val ratio = ratioSum / observed
         if (ratio > DECREASE_ABOVE) {
             // A batch that is still above the limit shows the effect of the old limit, not of the current one.
-            if (occupied <= value) value = maxOf(1, value * DECREASE_PCT / 100)
-        } else if (ratio < INCREASE_BELOW && occupied >= value) {
-            value = minOf(maximum, value + 1)
+            if (occupied <= value) value = maxOf(1, (value * maxOf(MIN_FACTOR, DECREASE_ABOVE / ratio)).toInt())
+            proven = minOf(proven, value)
+        } else {
+            proven = maxOf(proven, occupied)
+            // Intervals grow at most in proportion to the batch, so this many streams hold the target.
+            val safe = (occupied * INCREASE_BELOW / ratio).toInt() + INCREMENT
+            value = if (ratio < INCREASE_BELOW) minOf(maximum, maxOf(proven, safe)) else minOf(value, proven)
         }
         observed = 0
         ratioSum = 0.0
@@ -48,10 +55,11 @@
     private companion object {
         const val WINDOW_MS = 500L
         const val MIN_OBSERVED = 8
-        const val DECREASE_PCT = 90
+        const val INCREMENT = 1
+        const val MIN_FACTOR = 0.5
 
         /** Most streams meet a target on average over the stream if the average of all stays this far below it. */
-        const val DECREASE_ABOVE = 0.95
-        const val INCREASE_BELOW = 0.9
+        const val DECREASE_ABOVE = 0.9
+        const val INCREASE_BELOW = 0.85
     }
 }
--- a/core/src/main/kotlin/io/teaselspring/core/admission/ClassShare.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/admission/ClassShare.kt
@@ -42,6 +42,7 @@
 
     /** Queued attempts that have never started, by first-token deadline. */
     val fresh = TreeSet(byFirstTokenDeadline)
+    private val preempted = TreeSet(compareBy<Attempt> { it.sequence })
     val times = ServiceTimes()
     var weight = 1
     var queued = 0
@@ -54,7 +55,16 @@
 
     val active: Boolean get() = queued > 0 || running > 0
 
-    fun head(): Attempt? = counters.next()?.let { queues.getValue(it.id).firstEntry().value }
+    /**
+     * The attempt to start next. Preempted ones come first: their organisations were chosen and charged before, and
+     * a stream that waits for long enough passes its deadline and was produced in vain.
+     */
+    fun head(): Attempt? =
+        if (preempted.isNotEmpty()) {
+            preempted.first()
+        } else {
+            counters.next()?.let { queues.getValue(it.id).firstEntry().value }
+        }
 
     fun enqueue(attempt: Attempt) {
         val request = attempt.request
@@ -62,7 +72,7 @@
         queues.getOrPut(request.organisation) { TreeMap() }[attempt.sequence] = attempt
         counters.update(attempt.counter, queued = 1)
         queued += 1
-        if (!attempt.started) fresh.add(attempt)
+        if (attempt.started) preempted.add(attempt) else fresh.add(attempt)
         attempt.phase = Phase.QUEUED
     }
 
@@ -94,7 +104,7 @@
         queue.remove(attempt.sequence)
         if (queue.isEmpty()) queues.remove(attempt.request.organisation)
         queued -= 1
-        fresh.remove(attempt)
+        if (attempt.started) preempted.remove(attempt) else fresh.remove(attempt)
     }
 
     /** Charges [count] produced tokens, first against the reservation made at the start. */
--- a/core/src/main/kotlin/io/teaselspring/core/admission/WaitPrediction.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/admission/WaitPrediction.kt
@@ -38,8 +38,8 @@
         val releases = maxOf(0, ahead + 1 - freeSlots)
         if (releases == 0) return Wait(0, 0.0, 0.0)
         val rate = releaseRate(tier, freeSlots, nowMs)
-        // Independent releases give a spread of the square root of their number.
-        return Wait(releases, releases / rate, (releases + CAUTION * sqrt(releases.toDouble())) / rate)
+        val cautious = releases + QUANTILE * sqrt(releases.toDouble()) + (QUANTILE * QUANTILE - 1) / 3
+        return Wait(releases, releases / rate, cautious / rate)
     }
 
     /**
@@ -122,7 +122,11 @@
     private fun floor1(starts: Double) = if (starts < 0) 0 else starts.toInt() + 1
 
     private companion object {
-        const val CAUTION = 1.0
+        /**
+         * The 99 % quantile of the normal distribution; with the Cornish-Fisher term it gives that of the time which
+         * independent releases take, which has a long tail when there are few.
+         */
+        const val QUANTILE = 2.33
         const val EXACT_ORGANISATIONS = 64
         const val MIN_RATE = 1e-6
     }
--- a/core/src/main/kotlin/io/teaselspring/core/choice/AgentView.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/choice/AgentView.kt
@@ -10,7 +10,8 @@
 
 /**
  * What an entry knows about one agent. Times are on the entry's monotonic clock, in milliseconds. [sentSinceReport]
- * counts the entry's own offers since the report that were not refused. [firstTokenAverageMs] and
+ * counts the entry's own offers since the report less those that were refused or ended since (see [OwnWork]).
+ * [firstTokenAverageMs] and
  * [betweenTokensAverageMs] are the entry's own observations. Until [avoidUntilMs] the agent is offered work only when
  * nobody else is left.
  */
--- a/core/src/main/kotlin/io/teaselspring/core/choice/UpstreamChooser.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/choice/UpstreamChooser.kt
@@ -39,7 +39,12 @@
     val pool = serving.filter { it.connected }.ifEmpty { serving }
     val untried = pool.filter { it.instance !in tried }
     val eligible = if (request.displace) untried.displaceable(request.tier, nowMs) else untried
-    val candidates = eligible.filter { nowMs >= it.avoidUntilMs }.ifEmpty { eligible }
+    val graceMs = if (request.tier == 1) PROBE_GRACE_MS else 0
+    val candidates =
+        eligible
+            .filter {
+                it.avoidUntilMs == 0L || nowMs >= it.avoidUntilMs + graceMs
+            }.ifEmpty { eligible }
     if (candidates.size <= 1) return candidates.firstOrNull()?.instance
     val affine = request.prefixHash?.let { affineAgent(candidates, it) }
     return (affine ?: candidates.betterOfTwo(pool, home, random)).instance
@@ -83,10 +88,13 @@
 }
 
 /** Requests that the agent has, with those sent since its report and [more]. */
-internal fun AgentView.work(more: Int): Double = (running + queued + sentSinceReport + more).toDouble()
+internal fun AgentView.work(more: Int): Double = (maxOf(0, running + queued + sentSinceReport) + more).toDouble()
 
 /** Cost of an agent in another data centre, in full batches: small, so that load outweighs distance soon. */
 private const val REMOTE_COST = 0.1
 
+/** Time that the highest tier leaves to the others to probe an agent that was avoided, because a probe may be slow. */
+private const val PROBE_GRACE_MS = 15_000L
+
 /** Reports younger than this are believed when they say that an agent has nothing to displace. */
 private const val FRESH_REPORT_MS = 1000L
--- a/core/src/test/kotlin/io/teaselspring/core/admission/AgentSchedulerTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/admission/AgentSchedulerTest.kt
@@ -92,6 +92,18 @@
             (upstream.offer(offered(3)).single() as SchedulerAction.Refuse).reason shouldBe RefusalReason.UPSTREAM_DOWN
         }
 
+        // Guards against a request that waits next to work of a lower tier until it is too late to displace it.
+        test("queued work is given up while there is time to displace a lower tier, or displaces it here") {
+            val upstream = upstream(tokens = 500)
+            upstream.offer(offered(1, tier = 2))
+            repeat(3) { upstream.advance() }
+            upstream.offer(offered(2, firstTokenDeadlineMs = 3000))
+            while (upstream.log.none { it is SchedulerAction.Refuse }) upstream.advance()
+            upstream.nowMs shouldBeInRange 2750L..2850L
+            upstream.offer(offered(3, firstTokenDeadlineMs = upstream.nowMs + 100, displace = true))
+            upstream.starts.last() shouldBe offered(3).id
+        }
+
         // Guards against a batch that stays too large for the between-tokens target, and one that never grows again.
         test("the batch limit falls when intervals exceed the target and rises when they hold") {
             val limit = BatchLimit(32)
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/FakeAgent.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/FakeAgent.kt
@@ -19,6 +19,9 @@
 
 /** What an agent tells an entry about an attempt. */
 sealed interface Reply {
+    /** Whether the agent is done with the attempt. */
+    val ends: Boolean get() = this is NotRun || this is Finished || this is Lost
+
     data object Accepted : Reply
 
     data class NotRun(
