Let an entry's drain finish before its connections close

Ktor's server engine registers a shutdown hook of its own that stops the listener, next to the daemon's hook that drains. The property that switches it off is set at the start of the program, as the stand-ins do.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/Main.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/Main.kt
@@ -31,4 +31,8 @@
 }
 
 /** Starts the program. */
-fun main(args: Array<String>) = Daemon().main(args)
+fun main(args: Array<String>) {
+    // Ktor's own hook closes all connections on SIGTERM while the drain still waits for their requests.
+    System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
+    Daemon().main(args)
+}
