Link each entry to four others instead of eight

Keep-alives and the exchange between entries share 4 KB/s with the links to agents. The limit is 11 s, so the slower spread costs nothing.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/membership/EntryMesh.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/membership/EntryMesh.kt
@@ -18,7 +18,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Links that an entry opens by itself; as many on average are opened to it. */
-const val OUTGOING_LINKS = 8
+const val OUTGOING_LINKS = 4
 
 /** The links of [own] to other entries of [directory]. */
 class EntryMesh(
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/config/ConfigExchangeTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/config/ConfigExchangeTest.kt
@@ -15,6 +15,7 @@
 import io.teaselspring.core.keys.sha256Hex
 import io.teaselspring.daemon.control.FakePlatform
 import io.teaselspring.daemon.membership.ControlPeers
+import io.teaselspring.daemon.membership.OUTGOING_LINKS
 import io.teaselspring.daemon.membership.PeerLink
 import io.teaselspring.protocol.MAX_FRAME_BYTES
 import io.teaselspring.protocol.Message
@@ -133,7 +134,7 @@
     FunSpec({
         test("a change reaches 330 entries within 11 s below 4 KB/s each, over 5 seeds") {
             repeat(5) { seed ->
-                val mesh = Mesh(330, 8, Random(seed))
+                val mesh = Mesh(330, OUTGOING_LINKS, Random(seed))
                 mesh.run(10_000) { false }
                 mesh.bytes.fill(0)
                 mesh.entries[0].holder.apply(listOf(change(1)))
