Show the whole history and keep recent withdrawals at hand

The ids of recently withdrawn keys are kept when a version is applied: the request path asks for them often, and the scan over all keys grows with 46,000 organisations.

`mvn -B -ntp -q -pl daemon -am verify -Dtest=OperatorRoutesTest, KeyServiceTest` passes.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/config/ConfigHolder.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/config/ConfigHolder.kt
@@ -57,6 +57,10 @@
     @Volatile
     private var pendingKeys = emptySet<KeyId>()
 
+    // Kept apart, because the request path asks often and there may be tens of thousands of keys.
+    @Volatile
+    private var withdrawnAtMs = emptyMap<KeyId, Long>()
+
     @Volatile
     private var lastContact: TimeMark? = null
 
@@ -78,8 +82,7 @@
 
     override fun withdrawnKeys(): Set<KeyId> {
         val since = clock.now().toEpochMilliseconds() - LONGEST_REQUEST.inWholeMilliseconds
-        val logged = state.keys.filterValues { (it.withdrawnAtMs ?: Long.MIN_VALUE) >= since }.keys
-        return logged + pendingKeys
+        return withdrawnAtMs.filterValues { it >= since }.keys + pendingKeys
     }
 
     override fun authenticate(secret: String): Caller? =
@@ -128,6 +131,7 @@
         val after = configLog.state
         if (after.keys != before.keys) {
             index = KeyIndex(after.keys)
+            withdrawnAtMs = recentlyWithdrawn(after)
             val ended =
                 before.keys
                     .filter { (id, key) -> key.withdrawnAtMs == null && after.keys[id]?.withdrawnAtMs != null }
@@ -140,6 +144,14 @@
         log.info("event=config_applied version={} from={}", after.version, before.version)
     }
 
+    private fun recentlyWithdrawn(state: ConfigState): Map<KeyId, Long> {
+        val since = clock.now().toEpochMilliseconds() - LONGEST_REQUEST.inWholeMilliseconds
+        return state.keys
+            .mapNotNull { (id, key) ->
+                key.withdrawnAtMs?.takeIf { it >= since }?.let { id to it }
+            }.toMap()
+    }
+
     /** A document that this program cannot read, from a newer one, leaves the site as it is. */
     private fun siteOf(state: ConfigState): SiteConfig =
         try {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/control/ConfigRoutes.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/control/ConfigRoutes.kt
@@ -21,6 +21,7 @@
 import io.teaselspring.daemon.config.ChangeRefusal
 import io.teaselspring.daemon.config.ConfigAcceptor
 import io.teaselspring.daemon.config.ConfigHolder
+import io.teaselspring.daemon.config.ConfigTable
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerialName
@@ -73,6 +74,7 @@
 internal fun Route.configRoutes(
     holder: ConfigHolder,
     acceptor: ConfigAcceptor,
+    table: ConfigTable,
 ) {
     get("/config") {
         val state = holder.state
@@ -91,7 +93,7 @@
     }
     get("/config/history") {
         val count = call.intParameter("limit", 20).coerceIn(1, MAX_HISTORY)
-        call.respondJson(holder.history(count).map { it.entry() })
+        call.respondJson(history(holder, table, count).map { it.entry() })
     }
     get("/config/wait") { waitForVersion(holder) }
 }
@@ -102,6 +104,18 @@
     call.respondJson(if (name == null) view.site else holder.state.siteConfig(DataCentre(name)))
 }
 
+/** The latest changes, newest first. This process keeps those since its start, the store keeps all. */
+private suspend fun history(
+    holder: ConfigHolder,
+    table: ConfigTable,
+    count: Int,
+): List<ConfigChange> {
+    val known = holder.history(count)
+    val version = holder.state.version
+    if (known.size >= minOf(version, count.toLong())) return known
+    return table.changesAfter(maxOf(0, version - count)).fold({ known }, { it.reversed() })
+}
+
 private suspend fun RoutingContext.diff(
     state: ConfigState,
     request: ApplyRequest,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/control/EntryControl.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/control/EntryControl.kt
@@ -147,7 +147,7 @@
 
     /** Adds the operators' routes. */
     fun routes(route: Route) {
-        route.configRoutes(config, acceptor)
+        route.configRoutes(config, acceptor, table)
         route.organisationRoutes(config, acceptor)
         route.keyRoutes(config, keys)
         route.documentRoutes(config)
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/control/OperatorRoutesTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/control/OperatorRoutesTest.kt
@@ -84,6 +84,35 @@
             }
         }
 
+        test("an entry that started from a snapshot shows the whole history") {
+            withOperators {
+                (1..52).forEach { call("POST", "/organisations", """{"id": "o$it"}""").first shouldBe 201 }
+                val started =
+                    EntryControl(
+                        ControlIdentity(InstanceId("j"), Incarnation("m"), DataCentre("gijon")),
+                        platform.platform,
+                    )
+                val server =
+                    embeddedServer(
+                        CIO,
+                        port = 0,
+                        host = "127.0.0.1",
+                    ) { routing { started.routes(this) } }.start()
+                val port =
+                    server.engine
+                        .resolvedConnectors()
+                        .first()
+                        .port
+                val second = Operators(port, started, platform)
+                second.call("POST", "/organisations", """{"id": "last"}""").first shouldBe 201
+                started.config.changesAfter(40) shouldBe null
+                val history = second.call("GET", "/config/history?limit=60").second
+                history shouldContain "organisation o1 put"
+                history shouldContain "organisation last put"
+                server.stop(0, 0)
+            }
+        }
+
         test("an invalid document is refused with the faults and changes nothing") {
             withOperators {
                 val faulty = BASE.replace("\"tier\": 1", "\"tier\": 8")
