--- a/experiments/src/main/kotlin/io/teaselspring/experiment/Scenarios.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/Scenarios.kt
@@ -87,4 +87,18 @@
                 carriageBase.getValue(profile.name) * factor
             },
         ),
+        Scenario(
+            "retry-storm",
+            "a third of the engines and services is gone for 30 s",
+            association,
+            faults = { run ->
+                val lost =
+                    run.agents
+                        .groupBy { it.upstreamName }
+                        .values
+                        .flatMap { it.take(it.size / 3) }
+                run.gone(lost, 120_000, 150_000)
+            },
+            demand = steady(associationBase, 1.2),
+        ),
     )
