Measure time, state and message bytes of the decisions as sizes grow

Cause: the design asks for a decision under 50 microseconds and a bounded cost per daemon at the design size.

Change: ./experiment scale times the scheduler with 4000 queued requests in 14 classes, the limit check and the choice, and measures state and message bytes for 10 to 46,000 organisations, 13 to 600 engines and 3 to 330 daemons.

--- a/experiments/src/main/kotlin/io/teaselspring/experiment/Main.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/Main.kt
@@ -20,6 +20,12 @@
     override fun run() {
         if (name == "list") {
             scenarios.forEach { echo("%-20s %s".format(it.name, it.description)) }
+            echo("%-20s %s".format("scale", "time, state and message bytes of the decisions as the system grows"))
+            return
+        }
+        if (name == "scale") {
+            val measurements = measureScale(seed)
+            echo(if (output == "json") scaleJson(seed, measurements) else scaleText(measurements))
             return
         }
         val scenario = scenarios.firstOrNull { it.name == name } ?: throw UsageError("unknown scenario $name; see list")
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/Report.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/Report.kt
@@ -5,6 +5,7 @@
 
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonObjectBuilder
 import kotlinx.serialization.json.add
 import kotlinx.serialization.json.addJsonObject
 import kotlinx.serialization.json.buildJsonObject
@@ -28,21 +29,25 @@
             put("scenario", scenario)
             put("seed", seed)
             putJsonArray("policies") { policies.forEach { add(it.toJson()) } }
-            putJsonArray("targets") {
-                targets.forEach { target ->
-                    addJsonObject {
-                        put("name", target.name)
-                        put("bound", target.bound)
-                        put("value", rounded(target.value))
-                        put("met", target.met)
-                    }
-                }
-            }
+            putTargets(targets)
         }
     return prettyJson.encodeToString(JsonObject.serializer(), content)
 }
 
-private val prettyJson = Json { prettyPrint = true }
+internal fun JsonObjectBuilder.putTargets(targets: List<Target>) {
+    putJsonArray("targets") {
+        targets.forEach { target ->
+            addJsonObject {
+                put("name", target.name)
+                put("bound", target.bound)
+                put("value", rounded(target.value))
+                put("met", target.met)
+            }
+        }
+    }
+}
+
+internal val prettyJson = Json { prettyPrint = true }
 
 private fun Figures.toJson(): JsonObject =
     buildJsonObject {
