Look past two full candidates; notice stragglers after fewer intervals

Cause: two random candidates can both be full while a third has room, which cost single bookings; an entry averaged 16 intervals before it fed the straggler detector.

Change: when the better of two candidates would queue the request, the cheapest one with room is taken. The experiment's entries report every 4 intervals.

--- a/core/src/main/kotlin/io/teaselspring/core/choice/UpstreamChooser.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/choice/UpstreamChooser.kt
@@ -74,9 +74,14 @@
     val speeds = PeerSpeeds(pool)
     val first = this[firstIndex]
     val second = this[secondIndex]
-    return if (first.cost(home, speeds) <= second.cost(home, speeds)) first else second
+    val better = if (first.cost(home, speeds) <= second.cost(home, speeds)) first else second
+    if (better.hasRoom()) return better
+    // Both would queue the request; another one may have room.
+    return filter { it.hasRoom() }.minByOrNull { it.cost(home, speeds) } ?: better
 }
 
+private fun AgentView.hasRoom() = work(1) <= limit
+
 private fun AgentView.cost(
     home: DataCentre,
     speeds: PeerSpeeds,
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/TeaselspringRouter.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/TeaselspringRouter.kt
@@ -217,7 +217,7 @@
 
     private companion object {
         const val REPORT_US = 3_000_000L
-        const val OBSERVED_INTERVALS = 16
+        const val OBSERVED_INTERVALS = 4
         const val MAX_INTERVAL_MS = 500L
     }
 }
