Wire outcomes, usage, orders and the chosen agents into the daemon

The roles started the configuration's loops only. An agent now stores its usage and flushes it at the end of a drain; an entry claims idempotency keys in the table, keeps copies of usage, links the chosen agents, feeds their load to the order loop, says goodbye to other entries when it drains and gives its leases up when it stops.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/Roles.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/Roles.kt
@@ -11,10 +11,12 @@
 import io.teaselspring.daemon.agent.AgentParts
 import io.teaselspring.daemon.config.ConfigSource
 import io.teaselspring.daemon.config.staticConfigSource
+import io.teaselspring.daemon.control.AgentControl
 import io.teaselspring.daemon.control.ControlIdentity
 import io.teaselspring.daemon.control.EntryControl
 import io.teaselspring.daemon.entry.Entry
 import io.teaselspring.daemon.entry.EntryParts
+import io.teaselspring.daemon.entry.NoOutcomeStore
 import io.teaselspring.daemon.entry.PeerHandler
 import io.teaselspring.daemon.link.Link
 import io.teaselspring.daemon.link.LinkContext
@@ -26,6 +28,7 @@
 import io.teaselspring.daemon.operations.stateDump
 import io.teaselspring.daemon.settings.AgentSettings
 import io.teaselspring.daemon.settings.Settings
+import io.teaselspring.daemon.usage.NoUsage
 import io.teaselspring.platform.HttpPlatformSettings
 import io.teaselspring.platform.httpPlatform
 import io.teaselspring.protocol.Message
@@ -76,13 +79,17 @@
 ): Running {
     val registry = PrometheusRegistry()
     val links = settings.linkContext(identity) { Message.Versions(0, 0, 0) }
-    val agent = Agent(scope, agentSettings, links, settings.limits.streamIdleMs, AgentParts(registry = registry))
+    val control = settings.platformUrl?.let { settings.agentControl(it, identity) }
+    val parts = AgentParts(usage = control?.usage ?: NoUsage, registry = registry)
+    val agent = Agent(scope, agentSettings, links, settings.limits.streamIdleMs, parts)
+    control?.start(scope)
     val internal = agent.start(settings.addresses.internal)
     val operations =
         Operations(registry, { agent.isReady }, {}) { putAgent(agent.summary(), agent.isReachable) }
     val operators = startOperators(settings, identity, operations, requestDrain)
     return Running(linkedMapOf("operators" to operators.first, "internal" to internal)) {
         agent.drain()
+        control?.stop()
         operators.second.stop()
     }
 }
@@ -101,13 +108,15 @@
     val parts =
         EntryParts(
             config = config,
-            directory = { control?.directory?.agentAddresses() ?: settings.seeds },
+            directory = { control?.agentAddresses() ?: settings.seeds },
+            outcomes = control?.outcomes ?: NoOutcomeStore,
+            usage = control?.usage ?: NoUsage,
             peers = control?.let(::peerHandler) ?: object : PeerHandler {},
             nowMs = nowMs,
             registry = registry,
         )
     val entry = Entry(scope, settings, links, parts)
-    control?.start(scope, links)
+    control?.start(scope, links) { entry.summary().agents }
     val addresses = entry.start()
     val operations =
         Operations(registry, { entry.isReady && config.mayServe() }, { control?.routes(this) }) {
@@ -117,7 +126,9 @@
     val bound =
         linkedMapOf("callers" to addresses.callers, "operators" to operators.first, "internal" to addresses.internal)
     return Running(bound) {
+        control?.leave()
         entry.drain()
+        control?.stop()
         operators.second.stop()
     }
 }
@@ -126,10 +137,26 @@
     platformUrl: String,
     identity: LinkIdentity,
 ) = EntryControl(
-    ControlIdentity(instance, identity.incarnation, dataCentre, seeds, isolationLimitMs.milliseconds),
+    ControlIdentity(
+        instance,
+        identity.incarnation,
+        dataCentre,
+        seeds,
+        isolationLimitMs.milliseconds,
+        usageWindowMs.milliseconds,
+    ),
     httpPlatform(HttpPlatformSettings(platformUrl)).platform,
 )
 
+private fun Settings.agentControl(
+    platformUrl: String,
+    identity: LinkIdentity,
+) = AgentControl(
+    identity.incarnation,
+    httpPlatform(HttpPlatformSettings(platformUrl)).platform,
+    usageWindow = usageWindowMs.milliseconds,
+)
+
 private fun peerHandler(control: EntryControl) =
     object : PeerHandler {
         override suspend fun entryLink(link: Link) = control.entryLink(link)
