--- a/experiments/src/main/kotlin/io/teaselspring/experiment/Baselines.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/Baselines.kt
@@ -64,7 +64,7 @@
                 outcome.completedMs = run.loop.nowMs
                 onEnd(false)
             }
-            is Reply.NotRun -> onEnd(true)
+            is Reply.NotRun, Reply.NotSent -> onEnd(true)
             is Reply.Lost -> {
                 // A stream of which the caller has seen nothing is sent again; a call may have run, so it is not.
                 val repeat = !reply.expired && outcome.received == 0 && !outcome.job.profile.plain
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/FakeAgent.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/FakeAgent.kt
@@ -20,7 +20,7 @@
 /** What an agent tells an entry about an attempt. */
 sealed interface Reply {
     /** Whether the agent is done with the attempt. */
-    val ends: Boolean get() = this is NotRun || this is Finished || this is Lost
+    val ends: Boolean get() = this is NotRun || this is Finished || this is Lost || this is NotSent
 
     data object Accepted : Reply
 
@@ -36,6 +36,9 @@
 
     data object Finished : Reply
 
+    /** There was no process to connect to. */
+    data object NotSent : Reply
+
     /** The attempt was stopped, or the connection is lost. */
     data class Lost(
         val expired: Boolean,
@@ -70,6 +73,13 @@
         if (plain) FakeService(loop, ::onProgress) else FakeEngine(loop, ::onProgress)
     var alive = true
         private set
+    var draining = false
+        private set
+    private var aliveSinceUs = 0L
+    private var aliveUs = 0L
+
+    /** Time for which the instance has run and cost money. */
+    val paidMs: Long get() = (aliveUs + if (alive) loop.nowUs - aliveSinceUs else 0) / 1000
 
     val load: SchedulerLoad get() = scheduler.load(loop.nowMs)
 
@@ -79,7 +89,16 @@
         job: Job,
         resumeOffset: Int,
         reply: OnReply,
-    ) = loop.after(LINK_US) {
+    ) {
+        if (alive) loop.after(LINK_US) { arrived(request, job, resumeOffset, reply) } else send(reply, Reply.NotSent)
+    }
+
+    private fun arrived(
+        request: OfferedRequest,
+        job: Job,
+        resumeOffset: Int,
+        reply: OnReply,
+    ) {
         if (alive) {
             attempts[request.id] = Running(job, reply, resumeOffset)
             step(SchedulerEvent.Offered(request))
@@ -89,8 +108,20 @@
         }
     }
 
+    /** Takes no new work, finishes what it has, and stops. */
+    fun drain() {
+        draining = true
+        step(SchedulerEvent.DrainStarted)
+        stopWhenDrained()
+    }
+
+    private fun stopWhenDrained() {
+        if (attempts.isEmpty()) crash() else loop.after(TICK_US) { stopWhenDrained() }
+    }
+
     /** The process and its upstream end; connections break at once. */
     fun crash() {
+        if (alive) aliveUs += loop.nowUs - aliveSinceUs
         alive = false
         upstream.stopAll()
         attempts.values.toList().forEach { send(it.reply, Reply.Lost(expired = false)) }
@@ -100,6 +131,8 @@
     /** A new process takes the place of the crashed one. */
     fun restart() {
         alive = true
+        draining = false
+        aliveSinceUs = loop.nowUs
         scheduler = AgentScheduler(policy)
     }
 
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/Main.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/Main.kt
@@ -37,7 +37,7 @@
 /** Runs all policies of the scenario on the same requests. */
 fun Scenario.report(seed: Long): Report {
     val jobs = jobs(seed)
-    val figures = allPolicies.map { run(it, jobs, seed).figures(it.name) }
+    val figures = policies.map { run(it, jobs, seed).figures(it.name) }
     return Report(name, seed, figures, targets(figures.first(), figures))
 }
 
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/Scenario.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/Scenario.kt
@@ -8,17 +8,14 @@
 /** Demand of a class as a part of its pool's capacity, at a time. */
 typealias Demand = (profile: ClassProfile, member: Member, atMs: Long) -> Double
 
-/**
- * [demand] is summed over the members by their sizes. [faults] schedules what breaks. [noisy] is an organisation that
- * exceeds its share on purpose.
- */
+/** [demand] is summed over the members by their sizes. [faults] schedules what breaks. */
 class Scenario(
     val name: String,
     val description: String,
     val deployment: Deployment,
     val durationMs: Long = 300_000,
     val reportLagMs: Long = 0,
-    val noisy: OrganisationId? = null,
+    val policies: List<Policy> = allPolicies,
     val faults: (Run) -> Unit = {},
     val demand: Demand,
 )
@@ -40,18 +37,21 @@
     faults(run)
     val outcomes = jobs.map(::Outcome)
     outcomes.forEach { outcome -> loop.at(outcome.job.arrivalMs) { router.submit(outcome) } }
+    loop.runUntil(durationMs)
+    val cost = deployment.pools.sumOf { pool -> run.agents.filter { it.upstreamName == pool.upstream }.cost(pool) }
     loop.runUntil(durationMs + deployment.profiles.maxOf { it.deadlineMs })
-    val hours = durationMs / 3_600_000.0
     return RunResult(
         outcomes = outcomes,
         durationMs = durationMs,
         doneTokens = run.agents.sumOf { it.upstream.doneTokens },
         repeatedTokens = run.agents.sumOf { it.repeatedTokens },
-        cost = deployment.pools.sumOf { it.count * it.costPerHour * hours },
+        cost = cost,
         inShare = inShare(jobs),
     )
 }
 
+private fun List<FakeAgent>.cost(pool: Pool) = sumOf { it.paidMs } / 3_600_000.0 * pool.costPerHour
+
 /** Organisations that asked for no more of any pool than an equal part of it. */
 private fun Scenario.inShare(jobs: List<Job>): Set<OrganisationId> {
     val used = HashMap<Pair<OrganisationId, Pool>, Double>()
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/Scenarios.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/Scenarios.kt
@@ -79,7 +79,6 @@
             "noisy-neighbour",
             "one small organisation sends 20 times its share of engine work for 3 minutes",
             carriage,
-            noisy = noisyMember.id,
             demand = { profile, member, atMs ->
                 val noisy = member == noisyMember && !profile.plain && atMs in 60_000 until 240_000
                 // A share is a tenth of the capacity; sizes cancel out so that this member alone asks for 20 tenths.
@@ -101,4 +100,5 @@
             },
             demand = steady(associationBase, 1.2),
         ),
+        day,
     )
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/TeaselspringRouter.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/TeaselspringRouter.kt
@@ -188,6 +188,7 @@
                         DispatchEvent.Progress(reply.offset.toLong())
                     }
                     Reply.Finished -> DispatchEvent.Finished(outcome.job.tokens.toLong())
+                    Reply.NotSent -> DispatchEvent.NotSent
                     is Reply.Lost -> DispatchEvent.Lost
                 }
             apply(dispatch.step(event, nowMs))
--- a/experiments/src/test/kotlin/io/teaselspring/experiment/ScenarioTest.kt
+++ b/experiments/src/test/kotlin/io/teaselspring/experiment/ScenarioTest.kt
@@ -10,7 +10,15 @@
     FunSpec({
         fun short(name: String) =
             scenarios.first { it.name == name }.let {
-                Scenario(it.name, it.description, it.deployment, 80_000, it.reportLagMs, it.noisy, it.faults, it.demand)
+                Scenario(
+                    it.name,
+                    it.description,
+                    it.deployment,
+                    80_000,
+                    it.reportLagMs,
+                    faults = it.faults,
+                    demand = it.demand,
+                )
             }
 
         // Guards against figures that depend on anything but the seed, such as the clock or the order of a hash map.
