--- a/experiments/src/main/kotlin/io/teaselspring/experiment/Scale.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/Scale.kt
@@ -48,6 +48,18 @@
             "organisation",
             organisationCounts.map { it to schedulerBytes(it, seed) },
         ),
+        Measurement(
+            "configuration and key index",
+            "bytes",
+            "organisation",
+            organisationCounts.map { it to configurationBytes(it) },
+        ),
+        Measurement(
+            "change of the configuration",
+            "us a change",
+            "organisation",
+            organisationCounts.map { it to configurationChangeUs(it) },
+        ),
         Measurement("demand report", "bytes", "organisation", organisationCounts.map { it to reportBytes(it) }),
         Measurement("agents per entry", "agents", "daemon", daemonCounts.map { it to subsetSize(it) }),
         Measurement("idle load reports to an entry", "bytes/s", "daemon", daemonCounts.map { it to loadBytes(it) }),
@@ -101,7 +113,7 @@
 }
 
 /** Microseconds of one call of [action], after a warm-up: the best of several rounds, to leave out other processes. */
-private inline fun microseconds(
+internal inline fun microseconds(
     calls: Int,
     action: (Int) -> Unit,
 ): Double {
@@ -197,7 +209,7 @@
     return Runtime.getRuntime().run { totalMemory() - freeMemory() }
 }
 
-private fun <T> heapBytes(build: () -> T): Double {
+internal fun <T> heapBytes(build: () -> T): Double {
     val before = usedBytes()
     val built = build()
     val after = usedBytes()
