Ignore listed instances without a usable address

An address without a valid port in the platform's list would have thrown in the loop that connects to it, and a loop that fails ends the process, so one bad row could have ended every entry. Such rows are now logged and left out.

`mvn -B -ntp -q -pl daemon -am verify -Dtest=DirectoryTest` passes.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/membership/Directory.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/membership/Directory.kt
@@ -34,7 +34,7 @@
     /** Takes a list that the platform gave. */
     @Synchronized
     fun update(list: List<ListedInstance>) {
-        listed = list
+        listed = list.filter { it.hasAddress() }
         // Once the list shows a departed instance as gone, a later entry of that name is a new one.
         val stillLive = list.filter { it.state == InstanceState.LIVE }.map { InstanceId(it.instance) }.toSet()
         departed.retainAll(stillLive)
@@ -72,6 +72,14 @@
     fun entries(): List<ListedInstance> = live().filter { it.role == ENTRY_ROLE }
 }
 
+/** An instance without a usable address would end the loop that connects to it. */
+private fun ListedInstance.hasAddress(): Boolean {
+    val port = internalAddress.substringAfterLast(':', "").toIntOrNull()
+    val isUsable = port != null && port in 1..65_535 && internalAddress.substringBeforeLast(':').isNotBlank()
+    if (!isUsable) log.warn("event=instance_without_address instance={} address=\"{}\"", instance, internalAddress)
+    return isUsable
+}
+
 /** Reads the list every [interval] with a jitter, until cancelled. */
 suspend fun Directory.poll(
     list: InstanceList,
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/membership/DirectoryTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/membership/DirectoryTest.kt
@@ -43,7 +43,8 @@
             directory.agentAddresses() shouldBe listOf("seed:1")
             directory.agents().shouldBeNull()
             val leaving = listed("8", AGENT_ROLE).copy(state = InstanceState.LEAVING)
-            directory.update(listOf(listed("7", AGENT_ROLE), leaving))
+            val unusable = listOf("", "host", "host:0", ":1").map { listed("9", AGENT_ROLE).copy(internalAddress = it) }
+            directory.update(listOf(listed("7", AGENT_ROLE), leaving) + unusable)
             directory.agentAddresses() shouldBe listOf("10.0.0.7:1")
         }
 
