--- a/experiments/src/main/kotlin/io/teaselspring/experiment/TeaselspringRouter.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/TeaselspringRouter.kt
@@ -188,6 +188,7 @@
                         DispatchEvent.Progress(reply.offset.toLong())
                     }
                     Reply.Finished -> DispatchEvent.Finished(outcome.job.tokens.toLong())
+                    Reply.NotSent -> DispatchEvent.NotSent
                     is Reply.Lost -> DispatchEvent.Lost
                 }
             apply(dispatch.step(event, nowMs))
@@ -217,7 +218,7 @@
 
     private companion object {
         const val REPORT_US = 3_000_000L
-        const val OBSERVED_INTERVALS = 16
+        const val OBSERVED_INTERVALS = 4
         const val MAX_INTERVAL_MS = 500L
     }
 }
