Start the control side in both roles and enforce organisations' limits

The temporary static configuration is removed, as planned: the control loops have landed. An entry needs platform_url and takes configuration, outcomes, usage, agents and operators' routes from EntryControl; an agent with platform_url stores its usage through AgentControl and warns without.

Organisations' limits on requests per second and at once are enforced by each entry for its share, the limit divided by the number of live entries; asking other entries was ruled out, because it costs a round trip for each request.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/Roles.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/Roles.kt
@@ -9,8 +9,7 @@
 import io.teaselspring.core.Incarnation
 import io.teaselspring.daemon.agent.Agent
 import io.teaselspring.daemon.agent.AgentParts
-import io.teaselspring.daemon.config.ConfigSource
-import io.teaselspring.daemon.config.staticConfigSource
+import io.teaselspring.daemon.control.AgentControl
 import io.teaselspring.daemon.control.ControlIdentity
 import io.teaselspring.daemon.control.EntryControl
 import io.teaselspring.daemon.entry.Entry
@@ -26,17 +25,21 @@
 import io.teaselspring.daemon.operations.stateDump
 import io.teaselspring.daemon.settings.AgentSettings
 import io.teaselspring.daemon.settings.Settings
+import io.teaselspring.daemon.usage.NoUsage
 import io.teaselspring.platform.HttpPlatformSettings
 import io.teaselspring.platform.httpPlatform
 import io.teaselspring.protocol.Message
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.serialization.json.JsonObjectBuilder
+import org.slf4j.LoggerFactory
 import java.util.UUID
 import kotlin.io.path.readText
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 
+private val log = LoggerFactory.getLogger("io.teaselspring.daemon")
+
 private class Operations(
     val registry: PrometheusRegistry,
     val isReady: () -> Boolean,
@@ -76,13 +79,18 @@
 ): Running {
     val registry = PrometheusRegistry()
     val links = settings.linkContext(identity) { Message.Versions(0, 0, 0) }
-    val agent = Agent(scope, agentSettings, links, settings.limits.streamIdleMs, AgentParts(registry = registry))
+    val control = settings.platformUrl?.let { AgentControl(identity.incarnation, platformAt(it)) }
+    if (control == null) log.warn("event=usage_not_stored detail=\"no platform_url is set\"")
+    val parts = AgentParts(usage = control?.usage ?: NoUsage, registry = registry)
+    val agent = Agent(scope, agentSettings, links, settings.limits.streamIdleMs, parts)
+    control?.start(scope)
     val internal = agent.start(settings.addresses.internal)
     val operations =
         Operations(registry, { agent.isReady }, {}) { putAgent(agent.summary(), agent.isReachable) }
     val operators = startOperators(settings, identity, operations, requestDrain)
     return Running(linkedMapOf("operators" to operators.first, "internal" to internal)) {
         agent.drain()
+        control?.stop()
         operators.second.stop()
     }
 }
@@ -95,40 +103,44 @@
 ): Running {
     val registry = PrometheusRegistry()
     val nowMs = TimeSource.Monotonic.milliseconds()
-    val control = settings.platformUrl?.let { settings.control(it, identity) }
-    val config: ConfigSource = control?.config ?: staticConfigSource(requireNotNull(settings.staticConfig))
-    val links = settings.linkContext(identity) { control?.versions() ?: Message.Versions(0, 0, 0) }
+    val control = settings.entryControl(identity)
+    val links = settings.linkContext(identity, control::versions)
     val parts =
         EntryParts(
-            config = config,
-            directory = { control?.directory?.agentAddresses() ?: settings.seeds },
-            peers = control?.let(::peerHandler) ?: object : PeerHandler {},
+            config = control.config,
+            directory = control::agentAddresses,
+            outcomes = control.outcomes,
+            entryCount = { control.directory.entries().size + 1 },
+            usage = control.usage,
+            peers = peerHandler(control),
             nowMs = nowMs,
             registry = registry,
         )
     val entry = Entry(scope, settings, links, parts)
-    control?.start(scope, links)
+    control.start(scope, links) { entry.summary().agents }
     val addresses = entry.start()
     val operations =
-        Operations(registry, { entry.isReady && config.mayServe() }, { control?.routes(this) }) {
-            putEntry(entry.summary(), config.view.value.version, nowMs())
+        Operations(registry, { entry.isReady && control.config.mayServe() }, { control.routes(this) }) {
+            putEntry(entry.summary(), control.config.view.value.version, nowMs())
         }
     val operators = startOperators(settings, identity, operations, requestDrain)
     val bound =
         linkedMapOf("callers" to addresses.callers, "operators" to operators.first, "internal" to addresses.internal)
     return Running(bound) {
+        control.leave()
         entry.drain()
+        control.stop()
         operators.second.stop()
     }
 }
 
-private fun Settings.control(
-    platformUrl: String,
-    identity: LinkIdentity,
-) = EntryControl(
-    ControlIdentity(instance, identity.incarnation, dataCentre, seeds, isolationLimitMs.milliseconds),
-    httpPlatform(HttpPlatformSettings(platformUrl)).platform,
-)
+private fun Settings.entryControl(identity: LinkIdentity) =
+    EntryControl(
+        ControlIdentity(instance, identity.incarnation, dataCentre, seeds, isolationLimitMs.milliseconds),
+        platformAt(requireNotNull(platformUrl) { "an entry has a platform_url" }),
+    )
+
+private fun platformAt(url: String) = httpPlatform(HttpPlatformSettings(url)).platform
 
 private fun peerHandler(control: EntryControl) =
     object : PeerHandler {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/entry/Entry.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/Entry.kt
@@ -3,7 +3,6 @@
  */
 package io.teaselspring.daemon.entry
 
-import arrow.core.right
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.teaselspring.daemon.MonotonicMs
 import io.teaselspring.daemon.config.ConfigSource
@@ -29,12 +28,16 @@
 
 private val log = LoggerFactory.getLogger("io.teaselspring.daemon.entry")
 
-/** What an entry needs besides its settings. [drainNotice] is how long callers are still served after a drain began. */
+/**
+ * What an entry needs besides its settings. [entryCount] is the number of live entries, which share the organisations'
+ * limits. [drainNotice] is how long callers are still served after a drain began.
+ */
 class EntryParts(
     val config: ConfigSource,
     val directory: AgentDirectory,
     val outcomes: OutcomeStore = NoOutcomeStore,
     val usage: ReceivedUsage = NoUsage,
+    val entryCount: () -> Int = { 1 },
     val peers: PeerHandler = object : PeerHandler {},
     val nowMs: MonotonicMs = TimeSource.Monotonic.milliseconds(),
     val random: Random = Random.Default,
@@ -71,8 +74,10 @@
             random = parts.random::nextInt,
             observer = EntryMetrics(parts.registry, inboxes::size),
         )
+    private val organisationLimits =
+        OrganisationLimits({ parts.config.view.value.organisations }, parts.entryCount, parts.nowMs)
     private val handler =
-        CallerHandler(scope, parts.config, runs, parts.outcomes, limits, { {}.right() }, RequestIds()::next)
+        CallerHandler(scope, parts.config, runs, parts.outcomes, limits, organisationLimits::admit, RequestIds()::next)
     private val callers = CallerServer(handler, limits)
     private var listener: LinkListener? = null
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/settings/Settings.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/settings/Settings.kt
@@ -28,7 +28,6 @@
     val isolationLimitMs: Long,
     val agent: AgentSettings?,
     val callersTls: TlsFiles?,
-    val staticConfig: Path?,
     val usageWindowMs: Long = 3_600_000,
 )
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/settings/SettingsReader.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/settings/SettingsReader.kt
@@ -82,14 +82,13 @@
             sharedSecretFile = readableFile("shared_secret_file"),
             operatorKeySha256 =
                 text("operator_key_sha256", "64 lower-case hexadecimal digits", "") { it.matches(SHA256_HEX) },
-            platformUrl = optional("platform_url") { url(it) },
+            platformUrl = if (role == Role.ENTRY) url("platform_url") else optional("platform_url") { url(it) },
             seeds = texts("seeds", "a list of \"IP:port\"") { isAddress(it, anyPort = false) },
             limits = inner("limits") { requestLimits() } ?: RequestLimits(),
             isolationLimitMs = number("isolation_limit_ms", 1_000L..86_400_000L, 600_000),
             usageWindowMs = number("usage_window_ms", 10_000L..86_400_000L, 3_600_000),
             agent = if (role == Role.AGENT) agentSettings() else null,
             callersTls = if (role == Role.ENTRY) tlsFiles() else null,
-            staticConfig = optional("static_config") { readableFile(it) },
         )
     refuseOthers()
     return settings
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/Site.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/Site.kt
@@ -164,7 +164,6 @@
                 isolationLimitMs = 600_000,
                 agent = null,
                 callersTls = null,
-                staticConfig = null,
             )
         val parts =
             EntryParts(
