--- a/daemon/src/main/kotlin/io/teaselspring/daemon/Roles.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/Roles.kt
@@ -79,7 +79,7 @@
 ): Running {
     val registry = PrometheusRegistry()
     val links = settings.linkContext(identity) { Message.Versions(0, 0, 0) }
-    val control = settings.platformUrl?.let { AgentControl(identity.incarnation, platformAt(it)) }
+    val control = settings.platformUrl?.let { settings.agentControl(it, identity) }
     if (control == null) log.warn("event=usage_not_stored detail=\"no platform_url is set\"")
     val parts = AgentParts(usage = control?.usage ?: NoUsage, registry = registry)
     val agent = Agent(scope, agentSettings, links, settings.limits.streamIdleMs, parts)
@@ -136,12 +136,28 @@
 
 private fun Settings.entryControl(identity: LinkIdentity) =
     EntryControl(
-        ControlIdentity(instance, identity.incarnation, dataCentre, seeds, isolationLimitMs.milliseconds),
+        ControlIdentity(
+            instance,
+            identity.incarnation,
+            dataCentre,
+            seeds,
+            isolationLimitMs.milliseconds,
+            usageWindowMs.milliseconds,
+        ),
         platformAt(requireNotNull(platformUrl) { "an entry has a platform_url" }),
     )
 
 private fun platformAt(url: String) = httpPlatform(HttpPlatformSettings(url)).platform
 
+private fun Settings.agentControl(
+    platformUrl: String,
+    identity: LinkIdentity,
+) = AgentControl(
+    identity.incarnation,
+    platformAt(platformUrl),
+    usageWindow = usageWindowMs.milliseconds,
+)
+
 private fun peerHandler(control: EntryControl) =
     object : PeerHandler {
         override suspend fun entryLink(link: Link) = control.entryLink(link)
