--- a/daemon/src/main/kotlin/io/teaselspring/daemon/Roles.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/Roles.kt
@@ -9,14 +9,11 @@
 import io.teaselspring.core.Incarnation
 import io.teaselspring.daemon.agent.Agent
 import io.teaselspring.daemon.agent.AgentParts
-import io.teaselspring.daemon.config.ConfigSource
-import io.teaselspring.daemon.config.staticConfigSource
 import io.teaselspring.daemon.control.AgentControl
 import io.teaselspring.daemon.control.ControlIdentity
 import io.teaselspring.daemon.control.EntryControl
 import io.teaselspring.daemon.entry.Entry
 import io.teaselspring.daemon.entry.EntryParts
-import io.teaselspring.daemon.entry.NoOutcomeStore
 import io.teaselspring.daemon.entry.PeerHandler
 import io.teaselspring.daemon.link.Link
 import io.teaselspring.daemon.link.LinkContext
@@ -35,11 +32,14 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.serialization.json.JsonObjectBuilder
+import org.slf4j.LoggerFactory
 import java.util.UUID
 import kotlin.io.path.readText
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 
+private val log = LoggerFactory.getLogger("io.teaselspring.daemon")
+
 private class Operations(
     val registry: PrometheusRegistry,
     val isReady: () -> Boolean,
@@ -80,6 +80,7 @@
     val registry = PrometheusRegistry()
     val links = settings.linkContext(identity) { Message.Versions(0, 0, 0) }
     val control = settings.platformUrl?.let { settings.agentControl(it, identity) }
+    if (control == null) log.warn("event=usage_not_stored detail=\"no platform_url is set\"")
     val parts = AgentParts(usage = control?.usage ?: NoUsage, registry = registry)
     val agent = Agent(scope, agentSettings, links, settings.limits.streamIdleMs, parts)
     control?.start(scope)
@@ -102,58 +103,58 @@
 ): Running {
     val registry = PrometheusRegistry()
     val nowMs = TimeSource.Monotonic.milliseconds()
-    val control = settings.platformUrl?.let { settings.control(it, identity) }
-    val config: ConfigSource = control?.config ?: staticConfigSource(requireNotNull(settings.staticConfig))
-    val links = settings.linkContext(identity) { control?.versions() ?: Message.Versions(0, 0, 0) }
+    val control = settings.entryControl(identity)
+    val links = settings.linkContext(identity, control::versions)
     val parts =
         EntryParts(
-            config = config,
-            directory = { control?.agentAddresses() ?: settings.seeds },
-            outcomes = control?.outcomes ?: NoOutcomeStore,
-            usage = control?.usage ?: NoUsage,
-            peers = control?.let(::peerHandler) ?: object : PeerHandler {},
+            config = control.config,
+            directory = control::agentAddresses,
+            outcomes = control.outcomes,
+            entryCount = { control.directory.entries().size + 1 },
+            usage = control.usage,
+            peers = peerHandler(control),
             nowMs = nowMs,
             registry = registry,
         )
     val entry = Entry(scope, settings, links, parts)
-    control?.start(scope, links) { entry.summary().agents }
+    control.start(scope, links) { entry.summary().agents }
     val addresses = entry.start()
     val operations =
-        Operations(registry, { entry.isReady && config.mayServe() }, { control?.routes(this) }) {
-            putEntry(entry.summary(), config.view.value.version, nowMs())
+        Operations(registry, { entry.isReady && control.config.mayServe() }, { control.routes(this) }) {
+            putEntry(entry.summary(), control.config.view.value.version, nowMs())
         }
     val operators = startOperators(settings, identity, operations, requestDrain)
     val bound =
         linkedMapOf("callers" to addresses.callers, "operators" to operators.first, "internal" to addresses.internal)
     return Running(bound) {
-        control?.leave()
+        control.leave()
         entry.drain()
-        control?.stop()
+        control.stop()
         operators.second.stop()
     }
 }
 
-private fun Settings.control(
-    platformUrl: String,
-    identity: LinkIdentity,
-) = EntryControl(
-    ControlIdentity(
-        instance,
-        identity.incarnation,
-        dataCentre,
-        seeds,
-        isolationLimitMs.milliseconds,
-        usageWindowMs.milliseconds,
-    ),
-    httpPlatform(HttpPlatformSettings(platformUrl)).platform,
-)
+private fun Settings.entryControl(identity: LinkIdentity) =
+    EntryControl(
+        ControlIdentity(
+            instance,
+            identity.incarnation,
+            dataCentre,
+            seeds,
+            isolationLimitMs.milliseconds,
+            usageWindowMs.milliseconds,
+        ),
+        platformAt(requireNotNull(platformUrl) { "an entry has a platform_url" }),
+    )
+
+private fun platformAt(url: String) = httpPlatform(HttpPlatformSettings(url)).platform
 
 private fun Settings.agentControl(
     platformUrl: String,
     identity: LinkIdentity,
 ) = AgentControl(
     identity.incarnation,
-    httpPlatform(HttpPlatformSettings(platformUrl)).platform,
+    platformAt(platformUrl),
     usageWindow = usageWindowMs.milliseconds,
 )
 
