Serve callers with Netty also without TLS

The listener for callers was Ktor's CIO engine unless TLS was set. It lost calls sent with `Connection: close`: the connection closed without a byte of an answer.

Netty now serves callers always. HttpRequestLifecycle is replaced by a listener on the connection's close future, which also fires when the caller left before the call reached the application.

Conclusion: CIO is not fit for callers.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/entry/CallerServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/CallerServer.kt
@@ -1,5 +1,6 @@
 /*
- * The HTTP listener for callers: CIO, or Netty when TLS is set, which CIO does not serve.
+ * The HTTP listener for callers. Ktor's CIO engine serves no TLS, misses callers that leave early, and loses calls
+ * with `Connection: close`, so it is Netty with and without TLS.
  */
 package io.teaselspring.daemon.entry
 
@@ -7,14 +8,11 @@
 import io.ktor.server.application.Application
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.application.ApplicationCallPipeline
-import io.ktor.server.application.install
 import io.ktor.server.application.serverConfig
-import io.ktor.server.cio.CIO
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.connector
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.engine.sslConnector
-import io.ktor.server.http.HttpRequestLifecycle
 import io.ktor.server.netty.Netty
 import io.ktor.server.response.header
 import io.teaselspring.core.RequestId
@@ -48,7 +46,7 @@
         address: String,
         tls: TlsFiles?,
     ): String {
-        val started = if (tls == null) plainServer(address) else tlsServer(address, tls)
+        val started = server(address, tls)
         started.startSuspend(wait = false)
         server = started
         return started.boundAddress()
@@ -64,32 +62,29 @@
         server?.stopSuspend(gracePeriodMillis = STOP_GRACE_MS, timeoutMillis = 2 * STOP_GRACE_MS)
     }
 
-    private fun plainServer(address: String): EmbeddedServer<*, *> =
-        embeddedServer(CIO, serverConfig { module { callers() } }) {
-            connector {
-                host = hostOf(address)
-                port = portOf(address)
-            }
-        }
-
-    private fun tlsServer(
+    private fun server(
         address: String,
-        tls: TlsFiles,
+        tls: TlsFiles?,
     ): EmbeddedServer<*, *> =
         embeddedServer(Netty, serverConfig { module { callers() } }) {
             val password = CharArray(0)
-            sslConnector(keyStoreOf(tls, password), KEY_ALIAS, { password }, { password }) {
-                host = hostOf(address)
-                port = portOf(address)
+            if (tls == null) {
+                connector {
+                    host = hostOf(address)
+                    port = portOf(address)
+                }
+            } else {
+                sslConnector(keyStoreOf(tls, password), KEY_ALIAS, { password }, { password }) {
+                    host = hostOf(address)
+                    port = portOf(address)
+                }
             }
             maxHeaderSize = limits.headerBytes
             tcpKeepAlive = true
         }
 
     private fun Application.callers() {
-        // Without it a caller that leaves is noticed only when something is written to it.
-        install(HttpRequestLifecycle) { cancelCallOnClose = true }
-        intercept(ApplicationCallPipeline.Call) { answer(context) }
+        intercept(ApplicationCallPipeline.Call) { context.whileConnected { answer(context) } }
     }
 
     private suspend fun answer(call: ApplicationCall) {
