--- a/daemon/src/main/kotlin/io/teaselspring/daemon/membership/Directory.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/membership/Directory.kt
@@ -34,7 +34,7 @@
     /** Takes a list that the platform gave. */
     @Synchronized
     fun update(list: List<ListedInstance>) {
-        listed = list
+        listed = list.filter { it.hasAddress() }
         // Once the list shows a departed instance as gone, a later entry of that name is a new one.
         val stillLive = list.filter { it.state == InstanceState.LIVE }.map { InstanceId(it.instance) }.toSet()
         departed.retainAll(stillLive)
@@ -60,19 +60,26 @@
             it.state == InstanceState.LIVE && id != own && id !in departed
         }
 
-    /** All instances in the list, leaving ones included, or null if none was ever read. */
+    /** The live agents, or null if no list was ever read. */
     @Synchronized
-    fun all(): List<ListedInstance>? = listed
+    fun agents(): List<ListedInstance>? = listed?.let { live().filter { it.role == AGENT_ROLE } }
 
     /** Internal addresses of agents. Without a list these are the seeds; a seed that is an entry is linked as such. */
     @Synchronized
-    fun agentAddresses(): List<String> =
-        if (listed == null) seeds else live().filter { it.role == AGENT_ROLE }.map { it.internalAddress }.distinct()
+    fun agentAddresses(): List<String> = agents()?.map { it.internalAddress }?.distinct() ?: seeds
 
     /** Other live entries. */
     fun entries(): List<ListedInstance> = live().filter { it.role == ENTRY_ROLE }
 }
 
+/** An instance without a usable address would end the loop that connects to it. */
+private fun ListedInstance.hasAddress(): Boolean {
+    val port = internalAddress.substringAfterLast(':', "").toIntOrNull()
+    val isUsable = port != null && port in 1..65_535 && internalAddress.substringBeforeLast(':').isNotBlank()
+    if (!isUsable) log.warn("event=instance_without_address instance={} address=\"{}\"", instance, internalAddress)
+    return isUsable
+}
+
 /** Reads the list every [interval] with a jitter, until cancelled. */
 suspend fun Directory.poll(
     list: InstanceList,
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/config/ConfigExchangeTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/config/ConfigExchangeTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import io.teaselspring.core.DataCentre
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.KeyId
 import io.teaselspring.core.OrganisationId
@@ -14,10 +15,14 @@
 import io.teaselspring.core.keys.sha256Hex
 import io.teaselspring.daemon.control.FakePlatform
 import io.teaselspring.daemon.membership.ControlPeers
+import io.teaselspring.daemon.membership.OUTGOING_LINKS
 import io.teaselspring.daemon.membership.PeerLink
 import io.teaselspring.protocol.MAX_FRAME_BYTES
 import io.teaselspring.protocol.Message
+import io.teaselspring.protocol.decodeMessage
 import io.teaselspring.protocol.encode
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
 import java.util.PriorityQueue
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -129,7 +134,7 @@
     FunSpec({
         test("a change reaches 330 entries within 11 s below 4 KB/s each, over 5 seeds") {
             repeat(5) { seed ->
-                val mesh = Mesh(330, 8, Random(seed))
+                val mesh = Mesh(330, OUTGOING_LINKS, Random(seed))
                 mesh.run(10_000) { false }
                 mesh.bytes.fill(0)
                 mesh.entries[0].holder.apply(listOf(change(1)))
@@ -141,6 +146,24 @@
             }
         }
 
+        test("every kind of change reaches a peer through the encoding between processes and the table") {
+            val document = Json.parseToJsonElement("""{"a": {"b": [1, null, "x"]}}""") as JsonObject
+            val key = ApiKey(OrganisationId("o1"), sha256Hex("s"), 1, 2)
+            val edits =
+                listOf(
+                    ConfigEdit.PutBase(document),
+                    ConfigEdit.PutOverlay(DataCentre("oviedo"), document),
+                    ConfigEdit.PutOverlay(DataCentre("gijon"), null),
+                    ConfigEdit.PutOrganisation(OrganisationId("o1"), Organisation(2, 0.5, 3)),
+                    ConfigEdit.PutOrganisation(OrganisationId("o2"), null),
+                    ConfigEdit.PutKey(KeyId("k"), key),
+                )
+            val change = ConfigChange(1, "c", "a", 5, edits)
+            val message = Message.ConfigChanges(listOf(change))
+            decodeMessage(message.encode()) shouldBe message
+            Json.decodeFromString<ConfigChange>(Json.encodeToString(change)) shouldBe change
+        }
+
         test("an entry that knows nothing learns the whole state from a peer while the store is down") {
             val mesh = Mesh(2, 1, Random(1))
             repeat(150) { mesh.entries[0].holder.apply(listOf(change(it + 1L))) }
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/Main.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/Main.kt
@@ -20,6 +20,12 @@
     override fun run() {
         if (name == "list") {
             scenarios.forEach { echo("%-20s %s".format(it.name, it.description)) }
+            echo("%-20s %s".format("scale", "time, state and message bytes of the decisions as the system grows"))
+            return
+        }
+        if (name == "scale") {
+            val measurements = measureScale(seed)
+            echo(if (output == "json") scaleJson(seed, measurements) else scaleText(measurements))
             return
         }
         val scenario = scenarios.firstOrNull { it.name == name } ?: throw UsageError("unknown scenario $name; see list")
@@ -31,7 +37,7 @@
 /** Runs all policies of the scenario on the same requests. */
 fun Scenario.report(seed: Long): Report {
     val jobs = jobs(seed)
-    val figures = allPolicies.map { run(it, jobs, seed).figures(it.name) }
+    val figures = policies.map { run(it, jobs, seed).figures(it.name) }
     return Report(name, seed, figures, targets(figures.first(), figures))
 }
 
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/Scenarios.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/Scenarios.kt
@@ -79,7 +79,6 @@
             "noisy-neighbour",
             "one small organisation sends 20 times its share of engine work for 3 minutes",
             carriage,
-            noisy = noisyMember.id,
             demand = { profile, member, atMs ->
                 val noisy = member == noisyMember && !profile.plain && atMs in 60_000 until 240_000
                 // A share is a tenth of the capacity; sizes cancel out so that this member alone asks for 20 tenths.
@@ -87,4 +86,19 @@
                 carriageBase.getValue(profile.name) * factor
             },
         ),
+        Scenario(
+            "retry-storm",
+            "a third of the engines and services is gone for 30 s",
+            association,
+            faults = { run ->
+                val lost =
+                    run.agents
+                        .groupBy { it.upstreamName }
+                        .values
+                        .flatMap { it.take(it.size / 3) }
+                run.gone(lost, 120_000, 150_000)
+            },
+            demand = steady(associationBase, 1.2),
+        ),
+        day,
     )
