--- a/daemon/src/test/kotlin/io/teaselspring/daemon/Site.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/Site.kt
@@ -137,7 +137,10 @@
         maxRunning: Int = 4,
         maxQueued: Int = 4,
         usage: UsageRecorder = NoUsage,
-    ): RunningAgent = agent(upstream.url, plainService, maxRunning, maxQueued, usage)
+    ): RunningAgent {
+        upstreams += upstream
+        return agent(upstream.url, plainService, maxRunning, maxQueued, usage)
+    }
 
     suspend fun agent(
         upstreamUrl: String,
@@ -146,7 +149,6 @@
         maxQueued: Int = 4,
         usage: UsageRecorder = NoUsage,
     ): RunningAgent {
-        upstreams += upstream
         val name = if (plainService) plain else engine
         val models = if (plainService) emptyList() else listOf(MODEL)
         val agentScope = CoroutineScope(SupervisorJob(scope.coroutineContext[Job]) + Dispatchers.Default)
