Cut the cost of processes at rest

Change: the list is fetched by entity tag, a link sends a keep-alive only when it wrote nothing for an interval, an agent without work ticks every 500 ms, and the lease loop looks every 250 ms instead of 100 ms.

Ruled out: a longer interval for the list, because a leaving instance that cannot say goodbye is known from it only.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AgentLoop.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AgentLoop.kt
@@ -16,6 +16,9 @@
 
 private const val TICK_MS = 50L
 
+/** Without work only load reports are due, which have a longer interval. */
+private const val IDLE_TICK_MS = 500L
+
 /** Longest time between two load reports on an idle link. */
 private const val LOAD_INTERVAL_MS = 3_000L
 
@@ -41,7 +44,8 @@
 
     suspend fun run() {
         while (true) {
-            handle(withTimeoutOrNull(TICK_MS.milliseconds) { events.receive() } ?: AgentEvent.Tick)
+            val waitMs = if (attempts.isEmpty) IDLE_TICK_MS else TICK_MS
+            handle(withTimeoutOrNull(waitMs.milliseconds) { events.receive() } ?: AgentEvent.Tick)
             // Under load the timeout never passes, so the tick is due by the clock.
             if (nowMs() - lastTickMs >= TICK_MS) handle(AgentEvent.Tick)
             if (attempts.draining && attempts.isEmpty) drained.complete(Unit)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/lease/LeaseKeeper.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/lease/LeaseKeeper.kt
@@ -58,7 +58,7 @@
         synchronized(lease) { LeaseStatus(name, lease.lastHolder, lease.lastEpoch, lease.epochToSend(now()) != null) }
 
     /** Takes and renews the lease until cancelled. */
-    suspend fun run(interval: Duration = 100.milliseconds): Nothing {
+    suspend fun run(interval: Duration = 250.milliseconds): Nothing {
         while (true) {
             perform(step(LeaseEvent.Tick))
             delay(interval)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/link/Link.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/link/Link.kt
@@ -59,6 +59,9 @@
     private val queuedBytes = MutableStateFlow(0L)
     private val closing = CompletableDeferred<String>()
 
+    @Volatile
+    private var hasWritten = false
+
     /** Messages of the peer in order, those of the handshake excluded. Ends when the link closes; collected once. */
     val incoming: Flow<Message> = received.consumeAsFlow()
 
@@ -170,14 +173,17 @@
                 writtenBytes += next.size
             }
             output.flush()
+            hasWritten = true
             queuedBytes.update { maxOf(0, it - writtenBytes) }
         }
     }
 
+    /** Sends a message when nothing was written for a whole interval; any message keeps the link alive. */
     private suspend fun keepAlive(versions: () -> Message.Versions) {
         while (true) {
+            hasWritten = false
             delay(limits.keepAlive)
-            offer(versions())
+            if (!hasWritten) offer(versions())
         }
     }
 }
--- a/standins/src/main/kotlin/io/teaselspring/standins/platform/PlatformServer.kt
+++ b/standins/src/main/kotlin/io/teaselspring/standins/platform/PlatformServer.kt
@@ -41,6 +41,8 @@
 import kotlinx.serialization.json.encodeToJsonElement
 import kotlinx.serialization.json.put
 import org.slf4j.LoggerFactory
+import java.nio.ByteBuffer
+import java.security.MessageDigest
 import kotlin.time.Duration.Companion.milliseconds
 
 private val log = LoggerFactory.getLogger("platform")
@@ -178,11 +180,25 @@
     }
 }
 
+/** A version that changes with [content]: the first eight bytes of its SHA-256. */
+private fun versionOf(content: String): Long =
+    ByteBuffer.wrap(MessageDigest.getInstance("SHA-256").digest(content.encodeToByteArray())).long
+
 private fun Route.instanceRoutes(state: PlatformState) {
     get("/instances") {
         state.read(call) {
             val seen = instances.at(settings.lagMs.milliseconds).values.sortedBy { it.instance }
-            Reply(HttpStatusCode.OK, json.encodeToJsonElement(Instances(seen)))
+            val body = json.encodeToJsonElement(Instances(seen))
+            val version = versionOf(body.toString())
+            val isKnown = call.request.headers[HttpHeaders.IfNoneMatch] == "\"$version\""
+            if (isKnown) {
+                Reply(
+                    HttpStatusCode.NotModified,
+                    version = version,
+                )
+            } else {
+                Reply(HttpStatusCode.OK, body, version)
+            }
         }
     }
     put("/instances/{instance}") {
--- a/standins/src/test/kotlin/io/teaselspring/standins/PlatformClientTest.kt
+++ b/standins/src/test/kotlin/io/teaselspring/standins/PlatformClientTest.kt
@@ -94,4 +94,24 @@
                 .getOrNull()
                 ?.map { it.instance } shouldBe listOf("i1")
         }
+
+        // Guards against a client that keeps an old list because its entity tag still matches.
+        test("the list of instances is the same when unchanged and new after each change") {
+            suspend fun names() =
+                client.platform.instances
+                    .instances()
+                    .getOrNull()
+                    ?.map { it.instance }
+            names() shouldBe emptyList()
+            listOf("i1", "i2").forEach { name ->
+                http.put("http://127.0.0.1:${server.port}/instances/$name") {
+                    setBody(
+                        """{"role": "entry", "data_centre": "oviedo", "internal_address": "127.0.0.1:1",
+                            "operator_address": "127.0.0.1:2"}""",
+                    )
+                }
+                names()?.last() shouldBe name
+                names()?.last() shouldBe name
+            }
+        }
     })
