--- a/daemon/src/test/kotlin/io/teaselspring/daemon/settings/SettingsTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/settings/SettingsTest.kt
@@ -6,8 +6,12 @@
 import io.teaselspring.core.ModelName
 import java.nio.file.Path
 import kotlin.io.path.createTempDirectory
+import kotlin.io.path.readText
 import kotlin.io.path.writeText
 
+/** Surefire runs in the module's directory. */
+private val readme = Path.of("../README.md")
+
 private val directory: Path = createTempDirectory("settings").also { it.resolve("secret").writeText("s") }
 
 private fun read(vararg replacements: Pair<String, String>) =
@@ -73,6 +77,16 @@
             readSettings(directory.resolve("nowhere")).leftOrNull()!!.map { it.path } shouldBe listOf("$")
         }
 
+        // Guards against a README whose examples no longer start a process.
+        test("the settings in the README are valid") {
+            val examples = Regex("```jsonc\\n(.*?)```", RegexOption.DOT_MATCHES_ALL).findAll(readme.readText()).toList()
+            examples.size shouldBe 2
+            examples.forEachIndexed { i, example ->
+                val file = directory.resolve("readme-$i.jsonc").also { it.writeText(example.groupValues[1]) }
+                readSettings(file).leftOrNull() shouldBe null
+            }
+        }
+
         test("addresses outside the ranges are refused") {
             listOf("1.2.3.4", "1.2.3.256:80", "1.2.3.4:65536", "1.2.3.4:-1", ":80", "a.b.c.d:80").forEach {
                 isAddress(it, anyPort = true) shouldBe false
