--- a/core/src/main/kotlin/io/teaselspring/core/admission/AgentScheduler.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/admission/AgentScheduler.kt
@@ -168,9 +168,7 @@
     ) {
         record.add(id, nowMs)
         val attempt = attempts[id] ?: return
-        if (attempt.phase == Phase.QUEUED &&
-            !attempt.started
-        ) {
+        if (attempt.phase == Phase.QUEUED && !attempt.started) {
             forget(attempt)
         } else {
             stop(attempt, StopCause.CANCELLED, actions)
@@ -226,11 +224,7 @@
         for (attempt in attempts.values.filter { it.phase == Phase.QUEUED }.sortedBy { it.sequence }) {
             // The start of a preempted attempt fails, so the entry learns of it and resumes the stream elsewhere.
             if (attempt.started) {
-                start(
-                    attempt,
-                    nowMs,
-                    actions,
-                )
+                start(attempt, nowMs, actions)
             } else {
                 drop(attempt, RefusalReason.UPSTREAM_DOWN, nowMs, actions)
             }
