--- a/integration/src/test/kotlin/io/teaselspring/integration/CarriageSite.kt
+++ b/integration/src/test/kotlin/io/teaselspring/integration/CarriageSite.kt
@@ -72,7 +72,7 @@
     /** Waits until every entry serves every model and path with [key]. */
     fun awaitServing(to: List<Node> = entries) =
         to.forEach { entry ->
-            // A first plain call has hung until the idle limit of 60 s once, see KNOWN-RED.txt; the next one is asked then.
+            // Longer than the idle limit of 60 s, which the first plain call once ran into (KNOWN-RED.txt).
             awaitTrue("${entry.name} serves", 3.minutes) {
                 send("GET", "${entry.callers}/timetable/x").status == 200 &&
                     send("POST", "${entry.callers}/v1/chat/completions", chat(1, false), key.header).status == 200
