--- a/integration/src/test/kotlin/io/teaselspring/integration/CarriageSite.kt
+++ b/integration/src/test/kotlin/io/teaselspring/integration/CarriageSite.kt
@@ -5,7 +5,6 @@
 package io.teaselspring.integration
 
 import kotlin.io.path.readText
-import kotlin.time.Duration.Companion.minutes
 
 /**
  * Starts the processes, applies the configuration and creates one organisation with one key. [extra] are further
@@ -72,8 +71,7 @@
     /** Waits until every entry serves every model and path with [key]. */
     fun awaitServing(to: List<Node> = entries) =
         to.forEach { entry ->
-            // Longer than the idle limit of 60 s, which the first plain call once ran into (KNOWN-RED.txt).
-            awaitTrue("${entry.name} serves", 3.minutes) {
+            awaitTrue("${entry.name} serves") {
                 send("GET", "${entry.callers}/timetable/x").status == 200 &&
                     send("POST", "${entry.callers}/v1/chat/completions", chat(1, false), key.header).status == 200
             }
