--- a/core/src/main/kotlin/io/teaselspring/core/admission/BatchLimit.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/admission/BatchLimit.kt
@@ -1,6 +1,6 @@
 /*
- * The batch limit of one upstream. A larger batch produces more tokens in all but slows each stream, so the limit grows
- * while the between-tokens targets hold and shrinks by a factor when they do not.
+ * The batch limit of one upstream. A larger batch produces more tokens in all but slows each stream, so the limit
+ * grows while the between-tokens targets hold and shrinks by a factor when they do not.
  */
 package io.teaselspring.core.admission
 
--- a/core/src/main/kotlin/io/teaselspring/core/admission/ClassShare.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/admission/ClassShare.kt
@@ -1,6 +1,6 @@
 /*
- * The work of one class on one agent: its queue by organisation, its share of the tier, and what was learned about how
- * long its requests take. Answer lengths are unknown, so everything is learned from requests that have run.
+ * The work of one class on one agent: its queue by organisation, its share of the tier, and what was learned about
+ * how long its requests take. Answer lengths are unknown, so everything is learned from requests that have run.
  */
 package io.teaselspring.core.admission
 
--- a/core/src/main/kotlin/io/teaselspring/core/admission/Displacement.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/admission/Displacement.kt
@@ -1,6 +1,7 @@
 /*
- * Which work gives way to a request of a higher tier: queued work first, because nothing is lost with it, then running
- * work that may be stopped. Work of an equal or higher tier never does, nor does running work that is not preemptible.
+ * Which work gives way to a request of a higher tier: queued work first, because nothing is lost with it, then
+ * running work that may be stopped. Work of an equal or higher tier never does, nor does running work that is not
+ * preemptible.
  */
 package io.teaselspring.core.admission
 
--- a/core/src/main/kotlin/io/teaselspring/core/config/ConfigDocument.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/config/ConfigDocument.kt
@@ -1,7 +1,7 @@
 /*
- * The configuration as operators write it. The base holds what is the same everywhere; an overlay per data centre is a
- * JSON Merge Patch (RFC 7396) over the base. Organisations and keys are entities of their own, because they change far
- * more often than the files and there may be tens of thousands of them.
+ * The configuration as operators write it. The base holds what is the same everywhere; an overlay per data centre
+ * is a JSON Merge Patch (RFC 7396) over the base. Organisations and keys are entities of their own, because they
+ * change far more often than the files and there may be tens of thousands of them.
  */
 package io.teaselspring.core.config
 
--- a/core/src/main/kotlin/io/teaselspring/core/config/PortableJsonSerializer.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/config/PortableJsonSerializer.kt
@@ -1,6 +1,6 @@
 /*
- * JSON objects within messages that are not encoded as JSON. The library's own serializer of JsonObject works only with
- * the JSON format, while changes also travel in CBOR between processes.
+ * JSON objects within messages that are not encoded as JSON. The library's own serializer of JsonObject works only
+ * with the JSON format, while changes also travel in CBOR between processes.
  */
 package io.teaselspring.core.config
 
--- a/core/src/main/kotlin/io/teaselspring/core/fairness/LimitShares.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/fairness/LimitShares.kt
@@ -1,6 +1,7 @@
 /*
- * Division of an organisation's limits between entries. Each entry gets a small equal part and divides the rest by the
- * demand that the entries reported for the same period, so all entries compute the same shares and they add up to one.
+ * Division of an organisation's limits between entries. Each entry gets a small equal part and divides the rest by
+ * the demand that the entries reported for the same period, so all entries compute the same shares and they add up
+ * to one.
  */
 package io.teaselspring.core.fairness
 
--- a/core/src/main/kotlin/io/teaselspring/core/fairness/OrganisationLimits.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/fairness/OrganisationLimits.kt
@@ -1,11 +1,11 @@
 /*
- * Rate and concurrency limits of organisations, held across entries without asking a store. Entries exchange the demand
- * of each period; the shares of period p follow the demand of period p - 2, which leaves a period for the exchange.
- *
- * Error bound for N entries of which m lack a report of the period in use: an entry that lacks one takes at most an
- * equal part, so the shares add up to at most 1 + m / N. The admitted rate over a window of W seconds is at most
- * (1 + m / N) * (limit * (W + 1) + N), as each bucket holds one second of its share and at least one request. Slots
- * add up to (1 + m / N) * maxConcurrent; requests admitted under an older share may run on above that until they end.
+ * Rate and concurrency limits of organisations, held across entries without asking a store. Entries exchange the
+ * demand of each period; the shares of period p follow the demand of period p - 2, which leaves a period for the
+ * exchange.  Error bound for N entries of which m lack a report of the period in use: an entry that lacks one takes
+ * at most an equal part, so the shares add up to at most 1 + m / N. The admitted rate over a window of W seconds is
+ * at most (1 + m / N) * (limit * (W + 1) + N), as each bucket holds one second of its share and at least one
+ * request. Slots add up to (1 + m / N) * maxConcurrent; requests admitted under an older share may run on above
+ * that until they end.
  */
 package io.teaselspring.core.fairness
 
--- a/core/src/main/kotlin/io/teaselspring/core/fairness/TokenCounters.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/fairness/TokenCounters.kt
@@ -1,7 +1,7 @@
 /*
- * Virtual token counters of the organisations inside one class. An organisation is charged the tokens that its requests
- * produce, divided by its weight, and the organisation with the lowest counter is served next. One that becomes active
- * starts at the lowest counter of the active ones, so that idle time earns no credit.
+ * Virtual token counters of the organisations inside one class. An organisation is charged the tokens that its
+ * requests produce, divided by its weight, and the organisation with the lowest counter is served next. One that
+ * becomes active starts at the lowest counter of the active ones, so that idle time earns no credit.
  */
 package io.teaselspring.core.fairness
 
--- a/core/src/main/kotlin/io/teaselspring/core/lease/Lease.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/lease/Lease.kt
@@ -1,7 +1,7 @@
 /*
  * One process's side of a lease: when it may take it, when it renews it, and until when it may act under it. No two
- * processes may act at the same time, whatever is delayed, lost or paused, as long as the monotonic clocks of both run
- * at about the same rate; clocks are never compared between processes.
+ * processes may act at the same time, whatever is delayed, lost or paused, as long as the monotonic clocks of both
+ * run at about the same rate; clocks are never compared between processes.
  */
 package io.teaselspring.core.lease
 
--- a/core/src/main/kotlin/io/teaselspring/core/orders/OrderRow.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/orders/OrderRow.kt
@@ -1,6 +1,6 @@
 /*
- * Orders as they are recorded before they are sent. An order is absolute, so that sending it again is harmless, and the
- * successor of a dead leader takes up whatever was recorded last.
+ * Orders as they are recorded before they are sent. An order is absolute, so that sending it again is harmless, and
+ * the successor of a dead leader takes up whatever was recorded last.
  */
 package io.teaselspring.core.orders
 
--- /dev/null
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
@@ -0,0 +1,113 @@
+/*
+ * Placement of calls on the instances of an upstream that entries call without an agent. Each entry computes the
+ * same order of instances for a shared prompt part, so that the part is read into one cache only, and deviates from
+ * it when an instance has clearly more work than the others. Streams with the shortest allowed pause get instances
+ * of their own, because the prefill of a long prompt delays the tokens of all requests beside it.
+ */
+package io.teaselspring.core.placement
+
+import io.teaselspring.core.DataCentre
+import io.teaselspring.core.InstanceId
+
+/**
+ * An instance that may be chosen. [work] is its work in requests, running and waiting, as far as this entry knows.
+ * [pendingPrefillTokens] are the prompt tokens that this entry has sent there and that have not led to a first token.
+ */
+public data class PlacementCandidate(
+    val id: InstanceId,
+    val dataCentre: DataCentre,
+    val slots: Int,
+    val work: Double,
+    val pendingPrefillTokens: Long,
+    val isAvoided: Boolean,
+)
+
+/** What is known of a call. [sharedPart] identifies the longest part of its prompt that other calls have as well. */
+public data class PlacementRequest(
+    val sharedPart: String?,
+    val isInteractive: Boolean,
+    val home: DataCentre,
+)
+
+/**
+ * The rules. [reservedShare] of the instances, rounded to the nearest and at least one, serve only interactive streams
+ * when [reserves] is set.
+ * A call leaves its place in the order when the instance has over [spillRatio] times the mean work plus [spillSlack].
+ */
+public data class PlacementPolicy(
+    val reservedShare: Double = 0.25,
+    val minimumForReserve: Int = 4,
+    val spillRatio: Double = 1.5,
+    val spillSlack: Double = 2.0,
+    val spillPrefillTokens: Long = 20_000,
+)
+
+/**
+ * Chooses among [candidates], or returns null if there are none outside [tried]. [reserves] tells whether the upstream
+ * has both interactive and other streams. [random] returns a uniformly distributed integer below its argument.
+ */
+public fun placeCall(
+    candidates: List<PlacementCandidate>,
+    request: PlacementRequest,
+    reserves: Boolean,
+    tried: Set<InstanceId>,
+    random: (Int) -> Int,
+    policy: PlacementPolicy = PlacementPolicy(),
+): PlacementCandidate? {
+    val untried = candidates.filter { it.id !in tried }
+    val sound = untried.filter { !it.isAvoided }.ifEmpty { untried }
+    val pool = if (reserves) ownPool(candidates, sound, request.isInteractive, policy) else sound
+    if (pool.size <= 1) return pool.firstOrNull()
+    val part = request.sharedPart ?: return leastLoaded(pool, request.home, random)
+    val limit = pool.sumOf { it.work } / pool.size * policy.spillRatio + policy.spillSlack
+    val ranked = pool.sortedByDescending { rank(part, it.id) }
+    return ranked.firstOrNull { it.work <= limit && it.pendingPrefillTokens <= policy.spillPrefillTokens }
+        ?: leastLoaded(pool, request.home, random)
+}
+
+/** The instances of the request's group; all of [sound] when the group has no sound one left. */
+private fun ownPool(
+    all: List<PlacementCandidate>,
+    sound: List<PlacementCandidate>,
+    isInteractive: Boolean,
+    policy: PlacementPolicy,
+): List<PlacementCandidate> {
+    if (all.size < policy.minimumForReserve) return sound
+    val count = Math.round(all.size * policy.reservedShare).toInt().coerceAtLeast(1)
+    val reserved = all.sortedByDescending { rank(RESERVE_SEED, it.id) }.take(count).mapTo(HashSet()) { it.id }
+    return sound.filter { (it.id in reserved) == isInteractive }.ifEmpty { sound }
+}
+
+private fun leastLoaded(
+    pool: List<PlacementCandidate>,
+    home: DataCentre,
+    random: (Int) -> Int,
+): PlacementCandidate {
+    val start = random(pool.size)
+    val rotated = pool.drop(start) + pool.take(start)
+    return rotated.minBy { it.work / maxOf(1, it.slots) + if (it.dataCentre == home) 0.0 else REMOTE_COST }
+}
+
+/** Rendezvous hashing: the same on each entry, and a leaving instance moves only its own parts. */
+internal fun rank(
+    part: String,
+    id: InstanceId,
+): Long {
+    var hash = FNV_OFFSET
+    for (char in part) hash = (hash xor char.code.toLong()) * FNV_PRIME
+    for (char in id.value) hash = (hash xor char.code.toLong()) * FNV_PRIME
+    // FNV leaves the high bits of short inputs badly mixed.
+    hash = (hash xor (hash ushr 33)) * MIX_1
+    hash = (hash xor (hash ushr 33)) * MIX_2
+    return hash xor (hash ushr 33)
+}
+
+private const val RESERVE_SEED = "reserve"
+
+/** Cost of an instance in another data centre, in full batches. */
+private const val REMOTE_COST = 0.05
+
+private const val FNV_OFFSET = -3750763034362895579L
+private const val FNV_PRIME = 1099511628211L
+private const val MIX_1 = -49064778989728563L
+private const val MIX_2 = -4265267296055464877L
--- a/core/src/main/kotlin/io/teaselspring/core/retry/RetryBudget.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/retry/RetryBudget.kt
@@ -1,6 +1,7 @@
 /*
- * Budget of retries. Retries are limited to a share of recent successes, for the whole entry and for each organisation,
- * so that a partial outage does not multiply the load on what is left and one organisation cannot use up the budget.
+ * Budget of retries. Retries are limited to a share of recent successes, for the whole entry and for each
+ * organisation, so that a partial outage does not multiply the load on what is left and one organisation cannot use
+ * up the budget.
  */
 package io.teaselspring.core.retry
 
--- /dev/null
+++ b/core/src/main/kotlin/io/teaselspring/core/routing/CallConfig.kt
@@ -0,0 +1,141 @@
+/*
+ * Configuration of the calls that an entry passes to upstreams without an agent: routes by host and path, the
+ * upstreams behind them, the organisations with their keys, and the limits on callers. A version is immutable;
+ * versions only rise.
+ */
+package io.teaselspring.core.routing
+
+import io.teaselspring.core.OrganisationId
+import io.teaselspring.core.UpstreamName
+
+/** How often a call may run, and how its answer arrives. */
+public enum class CallKind {
+    /** May run more than once. */
+    IDEMPOTENT,
+
+    /** Runs at most once. */
+    NON_IDEMPOTENT,
+
+    /** An event stream; runs at most once unless its route is resumable. */
+    STREAM,
+}
+
+/** One of the upstreams of a route; the shares of a route are relative to the sum of its weights. */
+public data class WeightedUpstream(
+    val upstream: UpstreamName,
+    val weight: Int,
+)
+
+/**
+ * A route. [prefix] begins and ends with a slash. [timeoutMs] bounds the whole call, [targetLatencyMs] the time to the
+ * answer or to the first event, [maxPauseMs] the pause between two events. [priority] 0 is the most urgent.
+ * [maxAttempts] bounds the instances that one call is offered to.
+ */
+public data class CallRoute(
+    val name: String,
+    val host: String,
+    val prefix: String,
+    val kind: CallKind,
+    val upstreams: List<WeightedUpstream>,
+    val timeoutMs: Long,
+    val targetLatencyMs: Long,
+    val maxPauseMs: Long?,
+    val priority: Int,
+    val maxAttempts: Int,
+    val isPublic: Boolean,
+    val isResumable: Boolean,
+) {
+    /** Whether a call may run a second time after its first run had an unknown outcome. */
+    val isRepeatable: Boolean get() = kind == CallKind.IDEMPOTENT || (kind == CallKind.STREAM && isResumable)
+}
+
+/** An organisation with its keys. A [priority] goes before the one of the route. */
+public data class CallingOrganisation(
+    val id: OrganisationId,
+    val keys: Set<String>,
+    val priority: Int?,
+)
+
+/** An upstream as configured. [connections] bounds the connections to one instance from all callers together. */
+public data class CallUpstream(
+    val name: UpstreamName,
+    val connections: Int,
+    val slots: Int?,
+)
+
+/** Limits on callers. */
+public data class CallerLimits(
+    val headerBytes: Int = 16 * 1024,
+    val bodyBytes: Int = 4 * 1024 * 1024,
+    val headerTimeoutMs: Long = 3_000,
+    val idleTimeoutMs: Long = 15_000,
+)
+
+/** What may happen to a call by the configuration alone. */
+public sealed interface CallDecision {
+    /** No route matches. */
+    public data object NoRoute : CallDecision
+
+    /** The route asks for a key, and no organisation has this one. */
+    public data object UnknownKey : CallDecision
+
+    /** The call may go to an upstream of [route]; [organisation] is null on a public route without a known key. */
+    public data class Allowed(
+        val route: CallRoute,
+        val organisation: CallingOrganisation?,
+    ) : CallDecision {
+        /** Priority of the call, 0 first. */
+        val priority: Int get() = organisation?.priority ?: route.priority
+    }
+}
+
+/** One version of the configuration with its indexes. */
+public class CallConfig(
+    public val version: Long,
+    public val routes: List<CallRoute>,
+    public val upstreams: Map<UpstreamName, CallUpstream>,
+    public val organisations: List<CallingOrganisation>,
+    public val limits: CallerLimits = CallerLimits(),
+) {
+    private val routesByHost =
+        routes.groupBy { it.host }.mapValues { (_, all) ->
+            all.sortedByDescending { it.prefix.length }
+        }
+    private val organisationsByKey = buildMap { organisations.forEach { one -> one.keys.forEach { put(it, one) } } }
+
+    /** Whether any call needs a key. */
+    public val hasKeys: Boolean get() = organisations.isNotEmpty()
+
+    /** The route with the longest prefix of [path] among those of [host]. */
+    public fun route(
+        host: String,
+        path: String,
+    ): CallRoute? = routesByHost[host]?.firstOrNull { path.startsWith(it.prefix) }
+
+    /** Decides on a call to [path] at [host] with [key]. */
+    public fun decide(
+        host: String,
+        path: String,
+        key: String?,
+    ): CallDecision {
+        val route = route(host, path) ?: return CallDecision.NoRoute
+        val organisation = key?.let { organisationsByKey[it] }
+        if (hasKeys && !route.isPublic && organisation == null) return CallDecision.UnknownKey
+        return CallDecision.Allowed(route, organisation)
+    }
+
+    /** The longest allowed pauses of the routes that lead to [upstream], without those that have none. */
+    public fun pausesOf(upstream: UpstreamName): List<Long> =
+        routes.filter { route -> route.upstreams.any { it.upstream == upstream } }.mapNotNull { it.maxPauseMs }
+}
+
+/** Picks one of [upstreams] by weight; [random] returns a uniformly distributed integer below its argument. */
+public fun pickUpstream(
+    upstreams: List<WeightedUpstream>,
+    random: (Int) -> Int,
+): UpstreamName? {
+    val total = upstreams.sumOf { it.weight }
+    if (total <= 0) return upstreams.firstOrNull()?.upstream
+    var rest = random(total)
+    return upstreams.first { one -> (rest < one.weight).also { rest -= one.weight } }.upstream
+}
--- a/core/src/main/kotlin/io/teaselspring/core/usage/AgentLedger.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/usage/AgentLedger.kt
@@ -1,7 +1,7 @@
 /*
- * The usage of one agent that is not stored yet, and the row that it is stored in. A flush writes the agent's row under
- * the condition that it is unchanged since it was last read. An entry that takes over records of an agent it believes
- * gone changes that row too, so of both exactly one stores a record, whoever is slow or wrong.
+ * The usage of one agent that is not stored yet, and the row that it is stored in. A flush writes the agent's row
+ * under the condition that it is unchanged since it was last read. An entry that takes over records of an agent it
+ * believes gone changes that row too, so of both exactly one stores a record, whoever is slow or wrong.
  */
 package io.teaselspring.core.usage
 
--- a/core/src/main/kotlin/io/teaselspring/core/usage/UsageRows.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/usage/UsageRows.kt
@@ -1,6 +1,6 @@
 /*
- * Usage as it is stored. Each agent has one row per window with absolute counts; each entry has one for records that no
- * agent stored. Coverage tells which records are in some row, so that a record has exactly one row.
+ * Usage as it is stored. Each agent has one row per window with absolute counts; each entry has one for records
+ * that no agent stored. Coverage tells which records are in some row, so that a record has exactly one row.
  */
 package io.teaselspring.core.usage
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/Daemon.kt
@@ -19,13 +19,20 @@
 private const val EXIT_FAILED = 1
 
 /** A started role. [addresses] are the bound ones by listener; [drain] returns when all accepted work has ended. */
-internal class Running(
+class Running(
     val addresses: Map<String, String>,
     val drain: suspend () -> Unit,
 )
 
-/** Runs until a drain has ended and exits with code 0; with code 1 if the role cannot be started. */
-internal fun runDaemon(settings: Settings): Nothing {
+/** Runs the role of [settings] until a drain has ended. */
+internal fun runDaemon(settings: Settings): Nothing =
+    runUntilStopped { scope, requestDrain -> startRole(settings, scope, requestDrain) }
+
+/**
+ * Runs what [start] starts until SIGTERM, or until the function passed to [start] is called, and its drain has ended.
+ * Exits with code 0; with code 1 if it cannot be started.
+ */
+fun runUntilStopped(start: suspend (scope: CoroutineScope, requestDrain: () -> Unit) -> Running): Nothing {
     val stop = CompletableDeferred<Unit>()
     val exitCode = AtomicInteger(EXIT_FAILED)
     val finished = CountDownLatch(1)
@@ -45,7 +52,7 @@
         }
     try {
         runBlocking {
-            val running = startRole(settings, CoroutineScope(Dispatchers.Default + fatal)) { stop.complete(Unit) }
+            val running = start(CoroutineScope(Dispatchers.Default + fatal)) { stop.complete(Unit) }
             println("event=listening " + running.addresses.entries.joinToString(" ") { "${it.key}=${it.value}" })
             stop.await()
             running.drain()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/Roles.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/Roles.kt
@@ -26,8 +26,8 @@
 import io.teaselspring.daemon.settings.AgentSettings
 import io.teaselspring.daemon.settings.Settings
 import io.teaselspring.daemon.usage.NoUsage
-import io.teaselspring.platform.HttpPlatformSettings
-import io.teaselspring.platform.httpPlatform
+import io.teaselspring.ports.HttpPlatformSettings
+import io.teaselspring.ports.httpPlatform
 import io.teaselspring.protocol.Message
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AgentLoop.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AgentLoop.kt
@@ -1,6 +1,7 @@
 /*
- * The loop of an agent. One coroutine owns the scheduler, the record of requests and all attempts; links, runs and the
- * health probe only send it events. It never waits for any of them, so that it cannot be held up by a slow peer.
+ * The loop of an agent. One coroutine owns the scheduler, the record of requests and all attempts; links, runs and
+ * the health probe only send it events. It never waits for any of them, so that it cannot be held up by a slow
+ * peer.
  */
 package io.teaselspring.daemon.agent
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AttemptTable.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AttemptTable.kt
@@ -1,6 +1,7 @@
 /*
- * The attempts of an agent: what it has accepted, what it has run, and what it tells the entry at the end of each. All
- * last messages on an attempt are decided here, so that "not run" is said in one place and only when it is true.
+ * The attempts of an agent: what it has accepted, what it has run, and what it tells the entry at the end of each.
+ * All last messages on an attempt are decided here, so that "not run" is said in one place and only when it is
+ * true.
  */
 package io.teaselspring.daemon.agent
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/config/ConfigAcceptor.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/config/ConfigAcceptor.kt
@@ -14,10 +14,10 @@
 import io.teaselspring.core.config.ConfigProblem
 import io.teaselspring.core.config.ConfigState
 import io.teaselspring.core.config.problemsOf
-import io.teaselspring.platform.Backoff
-import io.teaselspring.platform.PlatformError
-import io.teaselspring.platform.delayAfter
-import io.teaselspring.platform.describe
+import io.teaselspring.ports.Backoff
+import io.teaselspring.ports.PlatformError
+import io.teaselspring.ports.delayAfter
+import io.teaselspring.ports.describe
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/config/ConfigHolder.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/config/ConfigHolder.kt
@@ -1,6 +1,6 @@
 /*
- * The configuration of this process in memory: the change log, the index of keys and the withdrawals that the log does
- * not have yet. Everything that arrives from the store or from peers goes through here, under one lock.
+ * The configuration of this process in memory: the change log, the index of keys and the withdrawals that the log
+ * does not have yet. Everything that arrives from the store or from peers goes through here, under one lock.
  */
 package io.teaselspring.daemon.config
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/config/ConfigSync.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/config/ConfigSync.kt
@@ -10,8 +10,8 @@
 import arrow.core.left
 import arrow.core.right
 import io.teaselspring.core.config.LogResult
-import io.teaselspring.platform.PlatformError
-import io.teaselspring.platform.describe
+import io.teaselspring.ports.PlatformError
+import io.teaselspring.ports.describe
 import kotlinx.coroutines.delay
 import org.slf4j.LoggerFactory
 import kotlin.random.Random
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/config/SnapshotCodec.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/config/SnapshotCodec.kt
@@ -1,6 +1,6 @@
 /*
- * A configuration state as compressed JSON, for the object store and for peers. Uncompressed, 46,000 organisations with
- * their keys exceed the largest frame.
+ * A configuration state as compressed JSON, for the object store and for peers. Uncompressed, 46,000 organisations
+ * with their keys exceed the largest frame.
  */
 package io.teaselspring.daemon.config
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/control/AgentControl.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/control/AgentControl.kt
@@ -6,8 +6,8 @@
 import io.teaselspring.core.Incarnation
 import io.teaselspring.daemon.usage.AgentUsage
 import io.teaselspring.daemon.usage.UsageTable
-import io.teaselspring.platform.Platform
-import io.teaselspring.platform.describe
+import io.teaselspring.ports.Platform
+import io.teaselspring.ports.describe
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/control/EntryControl.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/control/EntryControl.kt
@@ -31,7 +31,7 @@
 import io.teaselspring.daemon.usage.USAGE_LEASE
 import io.teaselspring.daemon.usage.UsageReporter
 import io.teaselspring.daemon.usage.UsageTable
-import io.teaselspring.platform.Platform
+import io.teaselspring.ports.Platform
 import io.teaselspring.protocol.Message
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/control/FleetView.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/control/FleetView.kt
@@ -14,7 +14,7 @@
 import io.teaselspring.core.config.siteConfig
 import io.teaselspring.core.orders.UpstreamDemand
 import io.teaselspring.daemon.orders.UpstreamSite
-import io.teaselspring.platform.ListedInstance
+import io.teaselspring.ports.ListedInstance
 import kotlinx.serialization.SerializationException
 import org.slf4j.LoggerFactory
 import kotlin.math.ceil
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/control/OperatorAnswers.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/control/OperatorAnswers.kt
@@ -1,5 +1,6 @@
 /*
- * Answers of the operators' routes: JSON bodies, and errors with a type that the command line turns into an exit code.
+ * Answers of the operators' routes: JSON bodies, and errors with a type that the command line turns into an exit
+ * code.
  */
 package io.teaselspring.daemon.control
 
@@ -10,8 +11,8 @@
 import io.ktor.server.response.respondText
 import io.teaselspring.core.config.ConfigProblem
 import io.teaselspring.daemon.config.ChangeRefusal
-import io.teaselspring.platform.PlatformError
-import io.teaselspring.platform.describe
+import io.teaselspring.ports.PlatformError
+import io.teaselspring.ports.describe
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/control/StatusRoutes.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/control/StatusRoutes.kt
@@ -25,8 +25,8 @@
 import io.teaselspring.daemon.orders.ORDERS_PREFIX
 import io.teaselspring.daemon.usage.EntryUsage
 import io.teaselspring.daemon.usage.UsageTable
-import io.teaselspring.platform.PlatformError
-import io.teaselspring.platform.TableStore
+import io.teaselspring.ports.PlatformError
+import io.teaselspring.ports.TableStore
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.JsonArray
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/entry/ClaimedRun.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/ClaimedRun.kt
@@ -1,6 +1,6 @@
 /*
- * Requests with an idempotency key. They run whole before the caller gets the first byte, so that the stored answer is
- * the one that was given, and they go on when the caller leaves, so that a repeat finds the outcome.
+ * Requests with an idempotency key. They run whole before the caller gets the first byte, so that the stored answer
+ * is the one that was given, and they go on when the caller leaves, so that a repeat finds the outcome.
  */
 package io.teaselspring.daemon.entry
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/entry/Inbox.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/Inbox.kt
@@ -1,6 +1,7 @@
 /*
- * What one request on an entry waits for: messages of its attempts, lost links and the withdrawal of its key. Messages
- * find their request by id, and the request checks the attempt; the order of arrival across requests means nothing.
+ * What one request on an entry waits for: messages of its attempts, lost links and the withdrawal of its key.
+ * Messages find their request by id, and the request checks the attempt; the order of arrival across requests means
+ * nothing.
  */
 package io.teaselspring.daemon.entry
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/entry/OrganisationLimits.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/OrganisationLimits.kt
@@ -1,6 +1,7 @@
 /*
  * Limits of organisations on requests per second and at once. They hold across all entries; each entry enforces its
- * share, because the load balancer spreads callers evenly and asking other entries would cost a round trip per request.
+ * share, because the load balancer spreads callers evenly and asking other entries would cost a round trip per
+ * request.
  */
 package io.teaselspring.daemon.entry
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/entry/OutcomeStore.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/OutcomeStore.kt
@@ -1,6 +1,6 @@
 /*
- * Outcomes of requests with an idempotency key. A claim is taken before the request runs, so that a repeat, also one on
- * another entry, gets the stored answer and never runs a second time.
+ * Outcomes of requests with an idempotency key. A claim is taken before the request runs, so that a repeat, also
+ * one on another entry, gets the stored answer and never runs a second time.
  */
 package io.teaselspring.daemon.entry
 
--- /dev/null
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallAttempt.kt
@@ -0,0 +1,223 @@
+/*
+ * One offer of a call to one instance, and what its answer means for the call.
+ */
+package io.teaselspring.daemon.gateway
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.CompositeByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpStatusClass
+import io.teaselspring.core.routing.CallKind
+
+/** Headers that came from a parser need no second check. */
+private val uncheckedHeaders = DefaultHttpHeadersFactory.headersFactory().withValidation(false)
+
+/** An answer, or its head while [body] is still empty. */
+internal class BufferedAnswer(
+    val status: HttpResponseStatus,
+    val headers: HttpHeaders,
+    val body: CompositeByteBuf = Unpooled.compositeBuffer(),
+) {
+    fun release() {
+        body.release()
+    }
+}
+
+/** An offer of [call] to [instance]; tells [run] how it went. */
+internal class CallAttempt(
+    private val gateway: Gateway,
+    private val run: CallRun,
+    private val call: AuthorisedCall,
+    private val instance: InstanceState,
+    private val prompt: List<PromptPart>,
+) : ExchangeListener {
+    private val names = gateway.settings.headers
+    private var exchange: Exchange? = null
+    private var answer: BufferedAnswer? = null
+    private var isStreaming = false
+    private var hasCounted = false
+    private var isOver = false
+    private val prefillTokens = instance.uncachedTokens(prompt)
+    private var isPrefilling = prefillTokens > 0
+
+    /** Sends [request]; with [afterEventId] a stream goes on after that event. */
+    fun start(
+        request: CallRequest,
+        endsAtMs: Long,
+        afterEventId: String?,
+    ) {
+        val now = gateway.nowMs()
+        instance.began(now)
+        instance.pendingPrefillTokens += prefillTokens
+        val outgoing =
+            OutgoingRequest(
+                request.method,
+                request.uri,
+                headersFor(request, maxOf(1, endsAtMs - now), afterEventId),
+                request.body,
+                request.headers[names.requestId],
+                names.requestId,
+            )
+        exchange = instance.server.send(outgoing, this)
+    }
+
+    private fun headersFor(
+        request: CallRequest,
+        leftMs: Long,
+        afterEventId: String?,
+    ): HttpHeaders {
+        val headers = uncheckedHeaders.newHeaders()
+        val ofConnection =
+            request.headers["Connection"]
+                ?.lowercase()
+                .orEmpty()
+                .split(',')
+                .map { it.trim() }
+        request.headers.iteratorCharSequence().forEach { (name, value) ->
+            val lower = name.toString().lowercase()
+            if (lower !in names.notForwarded && lower !in ofConnection) headers.add(name, value)
+        }
+        headers[names.timeBudgetMs] = leftMs.toString()
+        headers[names.expectInstance] = instance.registered.id.value
+        headers[names.priority] = call.priority.coerceIn(0, LOWEST_PRIORITY).toString()
+        call.organisation?.let { headers[names.organisation] = it.value }
+        afterEventId?.let { headers[LAST_EVENT_ID] = it }
+        return headers
+    }
+
+    /** Stops the offer; the instance notices by its closed connection. */
+    fun cancel() {
+        if (isOver) return
+        over()
+        exchange?.cancel()
+        answer?.release()
+    }
+
+    fun readOn(isWritable: Boolean) {
+        // Reading stops only for streams: an answer that is collected never waits for the caller.
+        if (isStreaming && !isOver) exchange?.readOn(isWritable)
+    }
+
+    override fun notSent(reason: String) {
+        over()
+        gateway.metrics.attempt(call.upstream.value, "not_sent")
+        instance.failed(gateway.nowMs(), reason)
+        run.notRun(reason, sent = false, retryAfter = null)
+    }
+
+    override fun head(response: HttpResponse) {
+        val now = gateway.nowMs()
+        instance.heard(now)
+        parseLoad(response.headers()[names.load])?.let { instance.reported(it, now) }
+        val headers = uncheckedHeaders.newHeaders()
+        response.headers().iteratorCharSequence().forEach { (name, value) ->
+            if (name.toString().lowercase() !in HeaderNames.perConnection) headers.add(name, value)
+        }
+        answer = BufferedAnswer(response.status(), headers)
+        if (isSuccess() && call.route.kind == CallKind.STREAM) {
+            isStreaming = true
+            run.streamBegins(checkNotNull(answer))
+        }
+    }
+
+    override fun body(piece: ByteBuf) {
+        if (!piece.isReadable) return
+        instance.heard(gateway.nowMs())
+        if (isPrefilling) prefilled()
+        if (!isNotRun()) count()
+        if (isStreaming) {
+            run.streamPiece(piece)
+        } else {
+            answer?.body?.addComponent(true, piece.retain())
+        }
+    }
+
+    override fun end() {
+        over()
+        val whole = answer
+        when {
+            whole == null -> run.failed("no answer", null)
+            isNotRun() -> {
+                val reason = "status ${whole.status.code()}"
+                gateway.metrics.attempt(call.upstream.value, "not_run")
+                whole.release()
+                run.notRun(reason, sent = true, whole.headers["Retry-After"])
+            }
+            isStreaming -> if (run.streamEnds()) succeeded() else broken("stream ends within an event")
+            isSuccess() -> {
+                count()
+                succeeded()
+                run.succeeded(whole)
+            }
+            else -> failedByInstance(whole)
+        }
+    }
+
+    private fun succeeded() {
+        gateway.metrics.attempt(call.upstream.value, "answered")
+        instance.succeeded()
+    }
+
+    private fun failedByInstance(whole: BufferedAnswer) {
+        count()
+        gateway.metrics.attempt(call.upstream.value, "failed")
+        if (whole.status.codeClass() == HttpStatusClass.SUCCESS) {
+            // A success without the instance's signature is not its answer.
+            whole.release()
+            run.failed("answer without signature", null)
+        } else {
+            run.failed("status ${whole.status.code()}", whole)
+        }
+    }
+
+    override fun broken(reason: String) {
+        over()
+        count()
+        gateway.metrics.attempt(call.upstream.value, "broken")
+        instance.failed(gateway.nowMs(), reason)
+        if (!isStreaming) answer?.release()
+        run.failed(reason, null)
+    }
+
+    private fun isSuccess() =
+        answer.let { it != null && it.status.codeClass() == HttpStatusClass.SUCCESS && names.signature in it.headers }
+
+    private fun isNotRun() =
+        answer.let {
+            it != null && (names.notRun in it.headers || it.status == HttpResponseStatus.MISDIRECTED_REQUEST)
+        }
+
+    /** Counts the call for its organisation, once for each run. */
+    private fun count() {
+        if (hasCounted) return
+        hasCounted = true
+        call.organisation?.let(gateway.usage)
+    }
+
+    private fun prefilled() {
+        isPrefilling = false
+        instance.pendingPrefillTokens -= prefillTokens
+    }
+
+    private fun over() {
+        if (isOver) return
+        isOver = true
+        if (isPrefilling) prefilled()
+        instance.ended()
+    }
+
+    private fun parseLoad(header: String?): ReportedLoad? {
+        val numbers = header?.split(',')?.mapNotNull { it.trim().toIntOrNull() } ?: return null
+        return if (numbers.size == LOAD_FIELDS) ReportedLoad(numbers[0], numbers[1], numbers[2]) else null
+    }
+
+    private companion object {
+        const val LOWEST_PRIORITY = 9
+        const val LAST_EVENT_ID = "Last-Event-Id"
+        const val LOAD_FIELDS = 3
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallRequest.kt
@@ -0,0 +1,59 @@
+/*
+ * A call as a caller sent it, read whole, and what is written back to its connection.
+ */
+package io.teaselspring.daemon.gateway
+
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponseStatus
+
+/** A call. [body] is released when the call's run has ended. */
+internal class CallRequest(
+    val method: HttpMethod,
+    val uri: String,
+    val headers: HttpHeaders,
+    val body: ByteBuf,
+) {
+    val host: String get() = headers["Host"].orEmpty().substringBefore(':').lowercase()
+
+    val path: String get() = uri.substringBefore('?')
+}
+
+/** The caller's side of one call. */
+internal interface CallerReply {
+    /** Whether more of an answer can be written without piling up. */
+    val isWritable: Boolean
+
+    /** Starts an answer whose body follows in pieces; without a [length] it is sent in chunks. */
+    fun head(
+        status: HttpResponseStatus,
+        headers: HttpHeaders,
+        length: Long? = null,
+    )
+
+    /** A piece of the body; takes ownership of [piece]. */
+    fun body(piece: ByteBuf)
+
+    /** Ends the answer. */
+    fun end()
+
+    /** Sends a whole answer; takes ownership of [body]. */
+    fun answer(
+        status: HttpResponseStatus,
+        headers: HttpHeaders,
+        body: ByteBuf,
+    )
+
+    /** Closes the connection, so that an answer that has begun is visibly incomplete. */
+    fun abort()
+}
+
+/** The runs that read the caller's connection tell them of. */
+internal interface CallHandle {
+    /** The caller has closed the connection. */
+    fun callerLeft()
+
+    /** The caller's connection takes more data again, or takes none for now. */
+    fun writabilityChanged(isWritable: Boolean)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
@@ -0,0 +1,55 @@
+/*
+ * An entry that calls upstream instances without an agent: what its parts share. Everything runs on one event loop.
+ */
+package io.teaselspring.daemon.gateway
+
+import io.netty.channel.EventLoop
+import io.teaselspring.core.DataCentre
+import io.teaselspring.core.InstanceId
+import io.teaselspring.core.OrganisationId
+import io.teaselspring.core.UpstreamName
+import io.teaselspring.core.retry.RetryBudget
+
+/**
+ * What a deployment fixes for an entry. Keyed calls are served while the configuration is known to be younger than
+ * [keyFreshnessMs]; "unknown key" and "no route" are said while it is younger than [certainMs], and the entry counts as
+ * ready while it is younger than [readyMs]. An entry's retries are [retrySharePct] percent of its successful calls, and
+ * at least [retryMinimum] in a window of [retryWindowMs].
+ */
+data class GatewaySettings(
+    val instance: InstanceId,
+    val dataCentre: DataCentre,
+    val headers: HeaderNames,
+    val keyFreshnessMs: Long = 4_700,
+    val certainMs: Long = 1_500,
+    val readyMs: Long = 3_000,
+    val retrySharePct: Int = 10,
+    val retryMinimum: Int = 5,
+    val retryWindowMs: Long = 10_000,
+)
+
+/** Shared state of one entry. */
+internal class Gateway(
+    val settings: GatewaySettings,
+    val loop: EventLoop,
+    val nowMs: () -> Long,
+    val config: ConfigState,
+    val instances: UpstreamInstances,
+    val metrics: GatewayMetrics,
+    val usage: (OrganisationId) -> Unit,
+    val random: (Int) -> Int,
+) {
+    private val budgets = HashMap<UpstreamName, RetryBudget>()
+
+    /** Set by the first planned stop; answers then end their connections. */
+    var isDraining = false
+
+    /** Whether callers should be sent here. */
+    val isReady: Boolean
+        get() = !isDraining && instances.isKnown && config.ageMs().let { it != null && it < settings.readyMs }
+
+    fun retryBudget(upstream: UpstreamName): RetryBudget =
+        budgets.getOrPut(upstream) {
+            RetryBudget(settings.retrySharePct, settings.retryMinimum, settings.retryWindowMs)
+        }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
@@ -0,0 +1,54 @@
+/*
+ * Metrics of an entry that calls upstream instances without an agent.
+ */
+package io.teaselspring.daemon.gateway
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/** Counters and histograms, registered in [registry]. */
+internal class GatewayMetrics(
+    val registry: PrometheusRegistry,
+) {
+    private val calls =
+        Counter
+            .builder()
+            .name("teaselspring_calls_total")
+            .help("Calls by route and outcome")
+            .labelNames("route", "outcome")
+            .register(registry)
+    private val attempts =
+        Counter
+            .builder()
+            .name("teaselspring_call_attempts_total")
+            .help("Offers to upstream instances by upstream and outcome")
+            .labelNames("upstream", "outcome")
+            .register(registry)
+    private val answerSeconds =
+        Histogram
+            .builder()
+            .name("teaselspring_call_answer_seconds")
+            .help("Time to the answer, or to the first event of a stream")
+            .labelNames("route")
+            .classicOnly()
+            .classicUpperBounds(0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 8.0)
+            .register(registry)
+
+    fun call(
+        route: String,
+        outcome: String,
+    ) = calls.labelValues(route, outcome).inc()
+
+    fun attempt(
+        upstream: String,
+        outcome: String,
+    ) = attempts.labelValues(upstream, outcome).inc()
+
+    fun answered(
+        route: String,
+        after: Duration,
+    ) = answerSeconds.labelValues(route).observe(after.toDouble(DurationUnit.SECONDS))
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HeaderNames.kt
@@ -0,0 +1,46 @@
+/*
+ * Names of the headers that callers, entries and upstream instances exchange. A deployment may bring names of its
+ * own.
+ */
+package io.teaselspring.daemon.gateway
+
+/**
+ * Header names. Those in [systemOnly] are the system's to set and never passed on from a caller; [perConnection] ones
+ * concern one connection only. All comparisons ignore case.
+ */
+data class HeaderNames(
+    val requestId: String = "X-Request-Id",
+    val timeBudgetMs: String = "X-Time-Budget-Ms",
+    val key: String = "X-Api-Key",
+    val organisation: String = "X-Organisation",
+    val expectInstance: String = "X-Expect-Instance",
+    val priority: String = "X-Priority",
+    val promptParts: String = "X-Prompt-Parts",
+    val signature: String = "X-Signature",
+    val notRun: String = "X-Not-Run",
+    val load: String = "X-Load",
+    val systemOnly: Set<String> = emptySet(),
+) {
+    /** Lower-case names that are not copied from a caller's request to an upstream. */
+    val notForwarded: Set<String> =
+        (systemOnly + listOf(key, organisation, expectInstance, priority, timeBudgetMs) + perConnection)
+            .mapTo(HashSet()) { it.lowercase() }
+
+    companion object {
+        /** Lower-case names that concern one connection only. */
+        val perConnection: Set<String> =
+            setOf(
+                "connection",
+                "keep-alive",
+                "proxy-authenticate",
+                "proxy-authorization",
+                "proxy-connection",
+                "te",
+                "trailer",
+                "transfer-encoding",
+                "upgrade",
+                "content-length",
+                "expect",
+            )
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HttpCalls.kt
@@ -0,0 +1,95 @@
+/*
+ * Whole HTTP calls for control: the store and the platform's other interfaces, on the connections and the event loop
+ * that also carry the traffic.
+ */
+package io.teaselspring.daemon.gateway
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import kotlinx.coroutines.suspendCancellableCoroutine
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.coroutines.resume
+import kotlin.time.Duration
+
+/** A whole answer. */
+class HttpReply(
+    val status: Int,
+    val body: ByteArray,
+)
+
+/** Why there is no answer; [mayHaveRun] tells whether the server can have seen the call. */
+data class HttpCallFailure(
+    val reason: String,
+    val mayHaveRun: Boolean,
+)
+
+/** Makes calls. All functions must be called on the event loop. */
+class HttpCalls internal constructor(
+    private val connections: HttpConnections,
+) {
+    /** Calls [uri] at [address], "IP:port"; gives up and closes the connection after [limit] without an answer. */
+    suspend fun call(
+        address: String,
+        method: String,
+        uri: String,
+        limit: Duration,
+        body: ByteArray? = null,
+        headers: Map<String, String> = emptyMap(),
+    ): Either<HttpCallFailure, HttpReply> {
+        val request =
+            OutgoingRequest(HttpMethod.valueOf(method), uri, headersOf(address, headers, body), bufferOf(body))
+        return withTimeoutOrNull(limit) { exchange(address, request) }
+            ?: HttpCallFailure("no answer within $limit", mayHaveRun = true).left()
+    }
+
+    private suspend fun exchange(
+        address: String,
+        request: OutgoingRequest,
+    ): Either<HttpCallFailure, HttpReply> =
+        suspendCancellableCoroutine { continuation ->
+            val collector = Collector { continuation.resume(it) }
+            val exchange = connections.server(address).send(request, collector)
+            continuation.invokeOnCancellation { exchange.cancel() }
+        }
+
+    private fun bufferOf(body: ByteArray?) = body?.let { Unpooled.wrappedBuffer(it) } ?: Unpooled.EMPTY_BUFFER
+
+    private fun headersOf(
+        address: String,
+        headers: Map<String, String>,
+        body: ByteArray?,
+    ) = DefaultHttpHeaders().apply {
+        set(HttpHeaderNames.HOST, address)
+        if (body != null) set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+        headers.forEach { (name, value) -> set(name, value) }
+    }
+}
+
+private class Collector(
+    private val done: (Either<HttpCallFailure, HttpReply>) -> Unit,
+) : ExchangeListener {
+    private var status = 0
+    private val collected = Unpooled.buffer()
+
+    override fun notSent(reason: String) = done(HttpCallFailure(reason, mayHaveRun = false).left())
+
+    override fun head(response: HttpResponse) {
+        status = response.status().code()
+    }
+
+    override fun body(piece: ByteBuf) {
+        collected.writeBytes(piece)
+    }
+
+    override fun end() = done(HttpReply(status, ByteBufUtil.getBytes(collected)).right())
+
+    override fun broken(reason: String) = done(HttpCallFailure(reason, mayHaveRun = true).left())
+}
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HeaderFilter.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HeaderFilter.kt
@@ -1,6 +1,6 @@
 /*
- * Which headers cross the system. A caller's key ends at the entry; the agent filters again, so that neither a fault of
- * the entry nor one of the agent alone shows a key to an upstream.
+ * Which headers cross the system. A caller's key ends at the entry; the agent filters again, so that neither a
+ * fault of the entry nor one of the agent alone shows a key to an upstream.
  */
 package io.teaselspring.daemon.http
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/keys/KeyService.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/keys/KeyService.kt
@@ -1,6 +1,6 @@
 /*
- * Creation and withdrawal of keys. A withdrawal counts from the moment it is requested: it is applied here and sent to
- * peers and agents before it is stored, and whoever knows it retries until the change log has it.
+ * Creation and withdrawal of keys. A withdrawal counts from the moment it is requested: it is applied here and sent
+ * to peers and agents before it is stored, and whoever knows it retries until the change log has it.
  */
 package io.teaselspring.daemon.keys
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/lease/LeaseKeeper.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/lease/LeaseKeeper.kt
@@ -12,8 +12,8 @@
 import io.teaselspring.core.lease.LeaseRow
 import io.teaselspring.core.lease.LeaseTimes
 import io.teaselspring.daemon.config.TABLE
-import io.teaselspring.platform.PlatformError
-import io.teaselspring.platform.TableStore
+import io.teaselspring.ports.PlatformError
+import io.teaselspring.ports.TableStore
 import kotlinx.coroutines.delay
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/link/Link.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/link/Link.kt
@@ -1,6 +1,7 @@
 /*
- * One authenticated connection between two processes of the system. Messages of many requests share it, so a sender is
- * never allowed to queue more than a bounded number of bytes: `send` waits for room, `offer` closes the link instead.
+ * One authenticated connection between two processes of the system. Messages of many requests share it, so a sender
+ * is never allowed to queue more than a bounded number of bytes: `send` waits for room, `offer` closes the link
+ * instead.
  */
 package io.teaselspring.daemon.link
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/membership/ControlPeers.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/membership/ControlPeers.kt
@@ -1,6 +1,6 @@
 /*
- * The open links of this entry to other entries. Configuration changes and withdrawals are exchanged over them; agents
- * get withdrawals from the request path.
+ * The open links of this entry to other entries. Configuration changes and withdrawals are exchanged over them;
+ * agents get withdrawals from the request path.
  */
 package io.teaselspring.daemon.membership
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/membership/Directory.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/membership/Directory.kt
@@ -1,14 +1,14 @@
 /*
- * The instances of the system as this process knows them: the platform's list, which lags, corrected by what peers say
- * themselves. A Goodbye wins over the list; without the list, the last one known stays in use.
+ * The instances of the system as this process knows them: the platform's list, which lags, corrected by what peers
+ * say themselves. A Goodbye wins over the list; without the list, the last one known stays in use.
  */
 package io.teaselspring.daemon.membership
 
 import io.teaselspring.core.InstanceId
-import io.teaselspring.platform.InstanceList
-import io.teaselspring.platform.InstanceState
-import io.teaselspring.platform.ListedInstance
-import io.teaselspring.platform.describe
+import io.teaselspring.ports.InstanceList
+import io.teaselspring.ports.InstanceState
+import io.teaselspring.ports.ListedInstance
+import io.teaselspring.ports.describe
 import kotlinx.coroutines.delay
 import org.slf4j.LoggerFactory
 import kotlin.random.Random
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/operations/OperatorServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/operations/OperatorServer.kt
@@ -1,6 +1,6 @@
 /*
- * The listener for operators: health, metrics, the state dump, drain, and the routes that other parts mount. Everything
- * but health and metrics needs the operators' key.
+ * The listener for operators: health, metrics, the state dump, drain, and the routes that other parts mount.
+ * Everything but health and metrics needs the operators' key.
  */
 package io.teaselspring.daemon.operations
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/orders/OrderLoop.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/orders/OrderLoop.kt
@@ -1,6 +1,6 @@
 /*
- * Orders upstreams under the lease `lease/orders`. Each order is recorded before it is sent, so that a successor takes
- * up what a dead leader may or may not have sent. Without the store there are no orders.
+ * Orders upstreams under the lease `lease/orders`. Each order is recorded before it is sent, so that a successor
+ * takes up what a dead leader may or may not have sent. Without the store there are no orders.
  */
 package io.teaselspring.daemon.orders
 
@@ -23,14 +23,14 @@
 import io.teaselspring.core.orders.successor
 import io.teaselspring.daemon.MonotonicMs
 import io.teaselspring.daemon.config.TABLE
-import io.teaselspring.platform.ABSENT
-import io.teaselspring.platform.OrderingInterface
-import io.teaselspring.platform.PlatformError
-import io.teaselspring.platform.Row
-import io.teaselspring.platform.ScaleOrder
-import io.teaselspring.platform.TableStore
-import io.teaselspring.platform.describe
-import io.teaselspring.platform.resolvingAmbiguousWrite
+import io.teaselspring.ports.ABSENT
+import io.teaselspring.ports.OrderingInterface
+import io.teaselspring.ports.PlatformError
+import io.teaselspring.ports.Row
+import io.teaselspring.ports.ScaleOrder
+import io.teaselspring.ports.TableStore
+import io.teaselspring.ports.describe
+import io.teaselspring.ports.resolvingAmbiguousWrite
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.Json
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/settings/ObjectReader.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/settings/ObjectReader.kt
@@ -1,6 +1,6 @@
 /*
- * Reads the fields of a JSON object by name and collects a fault for each one that is absent, of the wrong type, out of
- * range or unknown.
+ * Reads the fields of a JSON object by name and collects a fault for each one that is absent, of the wrong type,
+ * out of range or unknown.
  */
 package io.teaselspring.daemon.settings
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/usage/AgentUsage.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/usage/AgentUsage.kt
@@ -14,8 +14,8 @@
 import io.teaselspring.core.usage.StoredAgentRow
 import io.teaselspring.core.usage.UsageItem
 import io.teaselspring.core.usage.usageWindowOf
-import io.teaselspring.platform.PlatformError
-import io.teaselspring.platform.describe
+import io.teaselspring.ports.PlatformError
+import io.teaselspring.ports.describe
 import io.teaselspring.protocol.UsageRecord
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.sync.Mutex
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/usage/EntryUsage.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/usage/EntryUsage.kt
@@ -18,10 +18,10 @@
 import io.teaselspring.core.usage.usageWindowOf
 import io.teaselspring.core.usage.with
 import io.teaselspring.daemon.MonotonicMs
-import io.teaselspring.platform.ABSENT
-import io.teaselspring.platform.PlatformError
-import io.teaselspring.platform.describe
-import io.teaselspring.platform.resolvingAmbiguousWrite
+import io.teaselspring.ports.ABSENT
+import io.teaselspring.ports.PlatformError
+import io.teaselspring.ports.describe
+import io.teaselspring.ports.resolvingAmbiguousWrite
 import io.teaselspring.protocol.UsageRecord
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.sync.Mutex
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/usage/UsageReporter.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/usage/UsageReporter.kt
@@ -17,10 +17,10 @@
 import io.teaselspring.core.usage.usageWindowNamed
 import io.teaselspring.core.usage.usageWindowOf
 import io.teaselspring.daemon.config.TABLE
-import io.teaselspring.platform.PlatformError
-import io.teaselspring.platform.UsageIntake
-import io.teaselspring.platform.UsageReport
-import io.teaselspring.platform.describe
+import io.teaselspring.ports.PlatformError
+import io.teaselspring.ports.UsageIntake
+import io.teaselspring.ports.UsageReport
+import io.teaselspring.ports.describe
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.JsonObject
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/usage/UsageTable.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/usage/UsageTable.kt
@@ -19,11 +19,11 @@
 import io.teaselspring.core.usage.UsageWindow
 import io.teaselspring.core.usage.mergedCounts
 import io.teaselspring.daemon.config.TABLE
-import io.teaselspring.platform.ABSENT
-import io.teaselspring.platform.PlatformError
-import io.teaselspring.platform.Row
-import io.teaselspring.platform.TableStore
-import io.teaselspring.platform.TableWrite
+import io.teaselspring.ports.ABSENT
+import io.teaselspring.ports.PlatformError
+import io.teaselspring.ports.Row
+import io.teaselspring.ports.TableStore
+import io.teaselspring.ports.TableWrite
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.buildJsonObject
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/config/ConfigAcceptorTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/config/ConfigAcceptorTest.kt
@@ -10,7 +10,7 @@
 import io.teaselspring.core.config.ConfigEdit
 import io.teaselspring.core.config.Organisation
 import io.teaselspring.daemon.control.FakePlatform
-import io.teaselspring.platform.PlatformError
+import io.teaselspring.ports.PlatformError
 import kotlinx.coroutines.test.runTest
 import kotlin.random.Random
 
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/membership/DirectoryTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/membership/DirectoryTest.kt
@@ -11,8 +11,8 @@
 import io.teaselspring.daemon.control.chosenAddresses
 import io.teaselspring.daemon.control.demandOn
 import io.teaselspring.daemon.orders.UpstreamSite
-import io.teaselspring.platform.InstanceState
-import io.teaselspring.platform.ListedInstance
+import io.teaselspring.ports.InstanceState
+import io.teaselspring.ports.ListedInstance
 
 private fun listed(
     name: String,
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/usage/UsageReporterTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/usage/UsageReporterTest.kt
@@ -14,11 +14,11 @@
 import io.teaselspring.core.usage.UsageWindow
 import io.teaselspring.daemon.control.FakePlatform
 import io.teaselspring.daemon.milliseconds
-import io.teaselspring.platform.PlatformError
-import io.teaselspring.platform.TableStore
-import io.teaselspring.platform.TableWrite
-import io.teaselspring.platform.UsageIntake
-import io.teaselspring.platform.UsageReport
+import io.teaselspring.ports.PlatformError
+import io.teaselspring.ports.TableStore
+import io.teaselspring.ports.TableWrite
+import io.teaselspring.ports.UsageIntake
+import io.teaselspring.ports.UsageReport
 import io.teaselspring.protocol.UsageRecord
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.cancelAndJoin
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/Baselines.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/Baselines.kt
@@ -1,7 +1,7 @@
 /*
  * Baselines: round robin, least connections, and one queue in order of arrival. They run on the same agents, whose
- * scheduler sees one class, one tier and one organisation and so serves in order of arrival with the same batch limit.
- * They know at once which agents are alive and how much work each has, which no real balancer does.
+ * scheduler sees one class, one tier and one organisation and so serves in order of arrival with the same batch
+ * limit. They know at once which agents are alive and how much work each has, which no real balancer does.
  */
 package io.teaselspring.experiment
 
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/EventLoop.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/EventLoop.kt
@@ -1,6 +1,6 @@
 /*
- * Discrete event loop in virtual time. Events at the same time run in the order in which they were scheduled, so a run
- * depends on its seed only.
+ * Discrete event loop in virtual time. Events at the same time run in the order in which they were scheduled, so a
+ * run depends on its seed only.
  */
 package io.teaselspring.experiment
 
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/TeaselspringRouter.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/TeaselspringRouter.kt
@@ -1,6 +1,6 @@
 /*
- * The policy under test: entries that use the real dispatch, choice, straggler detection and retry budget. Load reports
- * arrive with the answers, at most 3 s apart, and later by the lag of the scenario.
+ * The policy under test: entries that use the real dispatch, choice, straggler detection and retry budget. Load
+ * reports arrive with the answers, at most 3 s apart, and later by the lag of the scenario.
  */
 package io.teaselspring.experiment
 
--- a/integration/src/test/kotlin/io/teaselspring/integration/CarriageSite.kt
+++ b/integration/src/test/kotlin/io/teaselspring/integration/CarriageSite.kt
@@ -1,6 +1,6 @@
 /*
- * The site that most tests use: the example configuration of the carriage company, two engines, one plain service, and
- * two entries.
+ * The site that most tests use: the example configuration of the carriage company, two engines, one plain service,
+ * and two entries.
  */
 package io.teaselspring.integration
 
--- a/integration/src/test/kotlin/io/teaselspring/integration/Processes.kt
+++ b/integration/src/test/kotlin/io/teaselspring/integration/Processes.kt
@@ -1,6 +1,6 @@
 /*
- * Starts real processes with the launchers of the repository and ends them by process id, also when a test fails or the
- * JVM of the tests is ended.
+ * Starts real processes with the launchers of the repository and ends them by process id, also when a test fails or
+ * the JVM of the tests is ended.
  */
 package io.teaselspring.integration
 
--- a/integration/src/test/kotlin/io/teaselspring/integration/Site.kt
+++ b/integration/src/test/kotlin/io/teaselspring/integration/Site.kt
@@ -1,6 +1,6 @@
 /*
- * A small site of real processes: the platform, engines and a plain service as stand-ins, an agent beside each, and two
- * entries. Ports are chosen by the system.
+ * A small site of real processes: the platform, engines and a plain service as stand-ins, an agent beside each, and
+ * two entries. Ports are chosen by the system.
  */
 package io.teaselspring.integration
 
--- a/model/src/test/kotlin/io/teaselspring/model/ModelChecker.kt
+++ b/model/src/test/kotlin/io/teaselspring/model/ModelChecker.kt
@@ -1,6 +1,6 @@
 /*
- * Runs TLC on a specification under src/main/tla. TLC keeps static state, so that every check has a JVM of its own; its
- * exit code is 0 when all invariants hold and 12 when one fails.
+ * Runs TLC on a specification under src/main/tla. TLC keeps static state, so that every check has a JVM of its own;
+ * its exit code is 0 when all invariants hold and 12 when one fails.
  */
 package io.teaselspring.model
 
--- a/platform/src/main/kotlin/io/teaselspring/platform/AmbiguousWrite.kt
+++ b/ports/src/main/kotlin/io/teaselspring/ports/AmbiguousWrite.kt
@@ -2,7 +2,7 @@
  * Resolution of a write whose response was lost: the row is read back by the id that the write carries, and the write
  * is repeated only under the same condition, so that at most one copy of it can apply.
  */
-package io.teaselspring.platform
+package io.teaselspring.ports
 
 import arrow.core.Either
 import arrow.core.left
--- a/platform/src/main/kotlin/io/teaselspring/platform/Backoff.kt
+++ b/ports/src/main/kotlin/io/teaselspring/ports/Backoff.kt
@@ -1,7 +1,7 @@
 /*
  * Delays between attempts. Full jitter keeps the instances that failed together from retrying together.
  */
-package io.teaselspring.platform
+package io.teaselspring.ports
 
 import kotlin.random.Random
 import kotlin.time.Duration
--- a/platform/src/main/kotlin/io/teaselspring/platform/HttpFailures.kt
+++ b/ports/src/main/kotlin/io/teaselspring/ports/HttpFailures.kt
@@ -1,7 +1,7 @@
 /*
  * Classification of client exceptions by whether any byte of the request can have reached the platform.
  */
-package io.teaselspring.platform
+package io.teaselspring.ports
 
 import io.ktor.client.network.sockets.ConnectTimeoutException
 import io.ktor.client.plugins.HttpRequestTimeoutException
--- a/platform/src/main/kotlin/io/teaselspring/platform/HttpInterfaces.kt
+++ b/ports/src/main/kotlin/io/teaselspring/ports/HttpInterfaces.kt
@@ -1,7 +1,7 @@
 /*
  * The platform interfaces by path, status and body over [HttpCalls].
  */
-package io.teaselspring.platform
+package io.teaselspring.ports
 
 import arrow.core.Either
 import arrow.core.flatMap
--- a/platform/src/main/kotlin/io/teaselspring/platform/HttpPlatform.kt
+++ b/ports/src/main/kotlin/io/teaselspring/ports/HttpPlatform.kt
@@ -2,7 +2,7 @@
  * The platform over HTTP (docs/platform-api.md). Calls are bounded in number and time. Reads are retried; a write is
  * retried here only if the connection was never made, because any other failure leaves open whether it was applied.
  */
-package io.teaselspring.platform
+package io.teaselspring.ports
 
 import arrow.core.Either
 import arrow.core.flatMap
--- a/platform/src/main/kotlin/io/teaselspring/platform/Platform.kt
+++ b/ports/src/main/kotlin/io/teaselspring/ports/Platform.kt
@@ -1,8 +1,8 @@
 /*
- * What the platform provides, as the system uses it: a transactional table, an object store, an interface for ordering
- * upstreams, one that accepts usage reports, and a list of instances that lags.
+ * What the platform provides, as the system uses it: a transactional table, an object store, an interface for
+ * ordering upstreams, one that accepts usage reports, and a list of instances that lags.
  */
-package io.teaselspring.platform
+package io.teaselspring.ports
 
 import arrow.core.Either
 import kotlinx.serialization.SerialName
--- a/platform/src/main/kotlin/io/teaselspring/platform/PlatformError.kt
+++ b/ports/src/main/kotlin/io/teaselspring/ports/PlatformError.kt
@@ -1,7 +1,8 @@
 /*
- * Errors of calls to the platform. The caller needs to know one thing above all: whether a write can have been applied.
+ * Errors of calls to the platform. The caller needs to know one thing above all: whether a write can have been
+ * applied.
  */
-package io.teaselspring.platform
+package io.teaselspring.ports
 
 /** Why a call to the platform failed: in which [step], against which [peer], with what [detail]. */
 public sealed interface PlatformError {
--- a/platform/src/test/kotlin/io/teaselspring/platform/HttpPlatformTest.kt
+++ b/ports/src/test/kotlin/io/teaselspring/ports/HttpPlatformTest.kt
@@ -1,4 +1,4 @@
-package io.teaselspring.platform
+package io.teaselspring.ports
 
 import arrow.core.left
 import arrow.core.right
--- a/protocol/src/main/kotlin/io/teaselspring/protocol/Framing.kt
+++ b/protocol/src/main/kotlin/io/teaselspring/protocol/Framing.kt
@@ -1,6 +1,6 @@
 /*
- * Framing of messages on a TCP connection: a 4-byte big-endian length and a CBOR-encoded message. The length is checked
- * before any memory is reserved, so that a hostile peer cannot make a process allocate more than one frame.
+ * Framing of messages on a TCP connection: a 4-byte big-endian length and a CBOR-encoded message. The length is
+ * checked before any memory is reserved, so that a hostile peer cannot make a process allocate more than one frame.
  */
 package io.teaselspring.protocol
 
--- a/standins/src/main/kotlin/io/teaselspring/standins/proxy/FaultProxy.kt
+++ b/standins/src/main/kotlin/io/teaselspring/standins/proxy/FaultProxy.kt
@@ -1,7 +1,7 @@
 /*
- * A TCP proxy with faults. A dropped direction behaves as a partition does to TCP: nothing passes, neither bytes nor
- * the end of the stream, and what was sent meanwhile arrives when the fault ends, unless the connection was cut. So no
- * receiver ever sees a stream with a hole in it.
+ * A TCP proxy with faults. A dropped direction behaves as a partition does to TCP: nothing passes, neither bytes
+ * nor the end of the stream, and what was sent meanwhile arrives when the fault ends, unless the connection was
+ * cut. So no receiver ever sees a stream with a hole in it.
  */
 package io.teaselspring.standins.proxy
 
