Queue prompts at the entry and keep each shared part on one engine

Change: core has CallQueue; an engine gets from each entry at most 40,000 unread prompt tokens, what exceeds that waits at the entry by priority, and a call leaves the engine of its shared part only after 1.5 s and when that is faster. Usage windows close as soon as all entries have stored final counts, and wait for those that are cut off until shortly before they are due; a planned stop keeps trying to store its last counts.

--- a/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
@@ -73,11 +73,19 @@
     policy: PlacementPolicy,
 ): List<PlacementCandidate> {
     if (all.size < policy.minimumForReserve) return sound
-    val count = Math.round(all.size * policy.reservedShare).toInt().coerceAtLeast(1)
-    val reserved = all.sortedByDescending { rank(RESERVE_SEED, it.id) }.take(count).mapTo(HashSet()) { it.id }
+    val reserved = reservedInstances(all.map { it.id }, policy.reservedShare)
     return sound.filter { (it.id in reserved) == isInteractive }.ifEmpty { sound }
 }
 
+/** The same [share] of [ids] on each entry, rounded to the nearest number and at least one. */
+internal fun reservedInstances(
+    ids: List<InstanceId>,
+    share: Double,
+): Set<InstanceId> {
+    val count = Math.round(ids.size * share).toInt().coerceAtLeast(1)
+    return ids.sortedByDescending { rank(RESERVE_SEED, it) }.take(count).toSet()
+}
+
 private fun leastLoaded(
     pool: List<PlacementCandidate>,
     home: DataCentre,
--- a/core/src/main/kotlin/io/teaselspring/core/usage/UsageRows.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/usage/UsageRows.kt
@@ -61,11 +61,17 @@
     val counts: List<UsageCount> = emptyList(),
 )
 
-/** The row of an entry's incarnation in one window: records of agents that ended before they stored them. */
+/**
+ * The row of an entry's incarnation in one window: records of agents that ended before they stored them, or the calls
+ * that an entry without agents passed on. [isFinal] tells that the entry has nothing more for the window, [isLeaving]
+ * that it will have no row in later windows.
+ */
 @Serializable
 public data class EntryUsageRow(
     @SerialName("flush_id") val flushId: String,
     val counts: List<UsageCount> = emptyList(),
+    @SerialName("final") val isFinal: Boolean = false,
+    @SerialName("leaving") val isLeaving: Boolean = false,
 )
 
 /** The figures of a closed window, fixed before they are reported, under the lease's [epoch]. */
--- /dev/null
+++ b/core/src/test/kotlin/io/teaselspring/core/placement/CallQueueTest.kt
@@ -0,0 +1,222 @@
+/*
+ * Guards the queue under the carriage company's bursts of long guides: shared parts that are read again and again,
+ * engines that queue more than they can read in time, and urgent calls that wait behind large ones.
+ */
+package io.teaselspring.core.placement
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import io.teaselspring.core.InstanceId
+
+/** An engine that has read the shared parts in [read]. */
+private class TestEngine(
+    name: String,
+    override var pendingTokens: Long = 0,
+    override var work: Double = 0.0,
+    override var isAvoided: Boolean = false,
+) : EngineView {
+    override val id = InstanceId(name)
+    val read = HashSet<String>()
+
+    override fun unreadTokens(
+        parts: List<PromptPart>,
+        isHome: Boolean,
+    ) = parts.filter { it.id !in read }.sumOf { it.tokens }
+}
+
+private const val TARGET_MS = 1_500L
+
+/** Small limits, which one or two calls reach. */
+private val narrow = QueuePolicy(windowTokens = 8_000, spillAfterMs = 100)
+
+class CallQueueTest :
+    FunSpec({
+        var lastId = 0L
+
+        fun guide(
+            subject: String,
+            arrivedMs: Long = 0,
+            priority: Int = 2,
+            isInteractive: Boolean = false,
+        ): QueuedCall {
+            val id = ++lastId
+            return QueuedCall(
+                id,
+                listOf(PromptPart(subject, 13_300), PromptPart("own-$id", 3_700)),
+                isInteractive,
+                priority,
+                arrivedMs,
+                lateAfterMs = arrivedMs + TARGET_MS,
+                refuseAfterMs = arrivedMs + 2 * TARGET_MS,
+            )
+        }
+
+        /** Dispatches, and lets the engines take up what is started. */
+        fun CallQueue.run(
+            nowMs: Long,
+            engines: List<TestEngine>,
+            reserves: Boolean = false,
+        ): Pair<List<QueueDecision.Start>, List<QueueDecision.Refuse>> {
+            val starts = mutableListOf<QueueDecision.Start>()
+            val refused =
+                dispatch(nowMs, engines, reserves) { start ->
+                    starts += start
+                    val engine = engines.single { it.id == start.engine }
+                    engine.pendingTokens += engine.unreadTokens(start.call.parts, true)
+                    engine.read +=
+                        start.call.parts
+                            .first()
+                            .id
+                }
+            return starts to refused
+        }
+
+        fun engines(count: Int) = (1..count).map { TestEngine("engine-$it") }
+
+        test("a call goes to the same engine as the last one on its subject") {
+            val all = engines(8)
+            val queue = CallQueue(narrow)
+            queue.add(guide("coast"))
+            val first =
+                queue
+                    .run(0, all)
+                    .first
+                    .single()
+                    .engine
+            all.forEach { it.pendingTokens = 0 }
+            queue.add(guide("coast"))
+            queue
+                .run(10, all)
+                .first
+                .single()
+                .engine shouldBe first
+        }
+
+        test("an engine gets no second long prompt while it has one to read, and the call waits at the entry") {
+            val all = engines(1)
+            val queue = CallQueue(narrow)
+            queue.add(guide("coast"))
+            queue.add(guide("stables"))
+            queue.run(0, all).first.size shouldBe 1
+            queue.size shouldBe 1
+            all.single().pendingTokens = 0
+            queue.run(300, all).first.size shouldBe 1
+        }
+
+        test("a call does not leave its subject's engine for a short wait") {
+            val all = engines(8)
+            val queue = CallQueue(narrow)
+            queue.add(guide("coast"))
+            val home =
+                queue
+                    .run(0, all)
+                    .first
+                    .single()
+                    .engine
+            all.single { it.id == home }.pendingTokens = 9_000
+            queue.add(guide("coast", arrivedMs = 0))
+            queue.run(20, all).first.shouldBeEmpty()
+        }
+
+        test("a call leaves its subject's engine when reading the subject elsewhere is faster than waiting") {
+            val all = engines(8)
+            val queue = CallQueue(narrow)
+            queue.add(guide("coast"))
+            val home =
+                queue
+                    .run(0, all)
+                    .first
+                    .single()
+                    .engine
+            all.single { it.id == home }.pendingTokens = 60_000
+            queue.add(guide("coast", arrivedMs = 0))
+            val second =
+                queue
+                    .run(1_000, all)
+                    .first
+                    .single()
+                    .engine
+            second shouldNotBe home
+        }
+
+        test("a more urgent call starts before a larger one that came first, and is never refused before it") {
+            val all = engines(1)
+            val queue = CallQueue(narrow)
+            queue.add(guide("coast", arrivedMs = 0, priority = 2))
+            queue.add(guide("stables", arrivedMs = 5, priority = 1))
+            queue
+                .run(10, all)
+                .first
+                .single()
+                .call.priority shouldBe 1
+        }
+
+        test("what can still make its target goes before what cannot, within its priority") {
+            val all = engines(1)
+            val queue = CallQueue(narrow)
+            val late = guide("coast", arrivedMs = 0)
+            val fresh = guide("stables", arrivedMs = 1_490)
+            queue.add(late)
+            queue.add(fresh)
+            queue.run(TARGET_MS + 10, all).first.map { it.call.id } shouldContainExactly listOf(fresh.id)
+        }
+
+        test("a call that has waited too long is refused once, and one whose caller has left is not started") {
+            val all = listOf(TestEngine("engine-1", pendingTokens = 50_000))
+            val queue = CallQueue(narrow)
+            val old = guide("coast")
+            val left = guide("coast")
+            queue.add(old)
+            queue.add(left)
+            queue.remove(left.id)
+            queue.run(2 * TARGET_MS - 1, all).second.shouldBeEmpty()
+            queue.run(2 * TARGET_MS, all).second.map { it.call.id } shouldContainExactly listOf(old.id)
+            queue.size shouldBe 0
+        }
+
+        test("an engine that is full of running calls takes no more") {
+            val all = listOf(TestEngine("engine-1", work = 64.0))
+            val queue = CallQueue(narrow)
+            queue.add(guide("coast"))
+            queue.run(0, all).first.shouldBeEmpty()
+        }
+
+        test("a burst of guides on one subject is not read on every engine") {
+            val all = engines(8)
+            val queue = CallQueue()
+            val used = HashSet<InstanceId>()
+            for (nowMs in 0L..2_000L step 20) {
+                if (nowMs % 100 == 0L) queue.add(guide("coast", arrivedMs = nowMs))
+                queue.run(nowMs, all).first.forEach { used += it.engine }
+                // Each engine reads 61 tokens in a millisecond.
+                all.forEach { it.pendingTokens = maxOf(0, it.pendingTokens - 61 * 20) }
+            }
+            used.size shouldBe 1
+        }
+
+        test("short greetings and long guides wait for engines of their own") {
+            val all = engines(8)
+            val queue = CallQueue()
+            repeat(100) { queue.add(guide("subject-$it")) }
+            val guides = queue.run(0, all, reserves = true).first.mapTo(HashSet()) { it.engine }
+            queue.add(guide("hello", priority = 0, isInteractive = true))
+            val greeting =
+                queue
+                    .run(0, all, reserves = true)
+                    .first
+                    .single()
+                    .engine
+            guides.size shouldBe 6
+            (greeting in guides) shouldBe false
+        }
+
+        test("the engines are never avoided as a whole") {
+            val all = engines(4).onEach { it.isAvoided = true }
+            val queue = CallQueue()
+            queue.add(guide("coast"))
+            queue.run(0, all).first.size shouldBe 1
+        }
+    })
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallAttempt.kt
@@ -33,7 +33,7 @@
     private val run: CallRun,
     private val call: AuthorisedCall,
     private val instance: InstanceState,
-    private val prompt: List<PromptPart>,
+    private val prefillTokens: Long,
 ) : ExchangeListener {
     private val names = gateway.settings.headers
     private var exchange: Exchange? = null
@@ -41,7 +41,6 @@
     private var isStreaming = false
     private var hasCounted = false
     private var isOver = false
-    private val prefillTokens = instance.uncachedTokens(prompt)
     private var isPrefilling = prefillTokens > 0
 
     /** Sends [request]; with [afterEventId] a stream goes on after that event. */
@@ -201,6 +200,7 @@
     private fun prefilled() {
         isPrefilling = false
         instance.pendingPrefillTokens -= prefillTokens
+        gateway.queues.changed(call.upstream)
     }
 
     private fun over() {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallRun.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallRun.kt
@@ -13,6 +13,8 @@
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.UpstreamName
 import io.teaselspring.core.placement.PlacementRequest
+import io.teaselspring.core.placement.PromptPart
+import io.teaselspring.core.placement.QueuedCall
 import io.teaselspring.core.placement.placeCall
 import io.teaselspring.core.routing.CallConfig
 import io.teaselspring.core.routing.CallDecision
@@ -31,7 +33,8 @@
     private val gateway: Gateway,
     private val request: CallRequest,
     private val reply: CallerReply,
-) : CallHandle {
+) : CallHandle,
+    WaitingCall {
     private val names = gateway.settings.headers
     private val requestId = request.headers[names.requestId].orEmpty()
     private val arrivedMs = gateway.nowMs()
@@ -44,6 +47,7 @@
     private var hasBegunAnswer = false
     private var framer: EventFramer? = null
     private var isOver = false
+    private var queuedAs: Long? = null
 
     fun start() {
         val config = gateway.config.current
@@ -102,7 +106,37 @@
         val limitMs = minOf(decision.route.timeoutMs, budgetMs)
         endsAtMs = arrivedMs + limitMs
         timer = gateway.loop.schedule({ timedOut() }, limitMs, TimeUnit.MILLISECONDS)
-        next()
+        if (prompt.isEmpty()) next() else enqueue()
+    }
+
+    private fun enqueue() {
+        val id = gateway.queues.nextId()
+        queuedAs = id
+        val target = call.route.targetLatencyMs
+        val queued =
+            QueuedCall(
+                id,
+                prompt,
+                call.isInteractive,
+                call.priority,
+                arrivedMs,
+                lateAfterMs = arrivedMs + target * LATE_PCT / PERCENT,
+                refuseAfterMs = minOf(arrivedMs + target * REFUSE_PCT / PERCENT, endsAtMs),
+            )
+        gateway.queues.add(call.upstream, queued, call.reserves, this)
+    }
+
+    override fun startAt(
+        instance: InstanceState,
+        unreadTokens: Long,
+    ) {
+        queuedAs = null
+        offer(instance, unreadTokens)
+    }
+
+    override fun refusedByQueue() {
+        queuedAs = null
+        refuse("waited too long")
     }
 
     /** Offers the call to the next instance, or refuses it when there is none. */
@@ -110,7 +144,7 @@
         val now = gateway.nowMs()
         val all = gateway.instances.of(call.upstream)
         val silenceMs = if (call.route.kind == CallKind.STREAM) STREAM_SILENCE_MS else PLAIN_SILENCE_MS
-        val shared = if (prompt.size > 1) prompt[prompt.size - 2].id else prompt.firstOrNull()?.id
+        val shared = prompt.getOrNull(prompt.size - 2)?.id ?: prompt.firstOrNull()?.id
         val chosen =
             placeCall(
                 all.map { it.candidate(now, silenceMs) },
@@ -124,9 +158,18 @@
             refuse(if (tried.isEmpty()) "no instance" else "no further instance")
             return
         }
+        offer(instance, instance.unreadTokens(prompt, unknownShare = 1.0))
+    }
+
+    private fun offer(
+        instance: InstanceState,
+        unreadTokens: Long,
+    ) {
         tried += instance.registered.id
         attempt =
-            CallAttempt(gateway, this, call, instance, prompt).also { it.start(request, endsAtMs, framer?.lastEventId) }
+            CallAttempt(gateway, this, call, instance, unreadTokens).also {
+                it.start(request, endsAtMs, framer?.lastEventId)
+            }
     }
 
     /** The attempt has not run. [sent] tells whether the instance has seen it. */
@@ -270,6 +313,7 @@
         reason: String,
     ) {
         isOver = true
+        queuedAs?.let { gateway.queues.remove(call.upstream, it) }
         timer?.cancel(false)
         framer?.dropPartial()
         gateway.metrics.call(if (::call.isInitialized) call.route.name else "none", outcome)
@@ -307,9 +351,13 @@
         const val RETRY_AFTER_MS = 300
         const val MILLIS_PER_S = 1000
 
-        /** An instance with calls under way that sent nothing for this long gets no new ones. */
-        const val STREAM_SILENCE_MS = 900L
+        /** As [STREAM_SILENCE_MS], for calls that take milliseconds. */
         const val PLAIN_SILENCE_MS = 300L
+
+        /** Share of the target after which a call that still waits gives way to those that can make theirs. */
+        const val LATE_PCT = 80
+        const val REFUSE_PCT = 120
+        const val PERCENT = 100
     }
 }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/DirectUsage.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/DirectUsage.kt
@@ -40,6 +40,7 @@
     val begun = HashMap<OrganisationId, Long>()
     var rowVersion = ABSENT
     var isStored = false
+    var isFinal = false
     var flushId = ""
 }
 
@@ -51,6 +52,7 @@
     private val lengthMs: Long,
 ) {
     private val windows = TreeMap<UsageWindow, WindowCounts>()
+    private var isLeaving = false
 
     /** A call of [organisation] has begun to run. */
     fun began(organisation: OrganisationId) {
@@ -70,21 +72,31 @@
         }
     }
 
+    /** Stores everything as the last counts of this entry; true if that was possible. */
+    suspend fun finish(): Boolean {
+        isLeaving = true
+        windows.values.forEach { it.isStored = false }
+        flush()
+        return windows.values.all { it.isStored }
+    }
+
     /** Stores what is not stored; a window that was closed meanwhile is given up. */
     suspend fun flush() {
         // A row for each window, also without calls, lets the reporter see that the window has passed.
-        windows.getOrPut(UsageWindow(windowNow().startMs)) { WindowCounts() }
-        val open = windows.filterValues { !it.isStored }.toList()
-        open.forEach { (window, counts) -> store(window, counts) }
         val current = windowNow()
+        windows.getOrPut(current) { WindowCounts() }
+        val open = windows.filter { (window, counts) -> !counts.isStored || (window < current && !counts.isFinal) }
+        open.forEach { (window, counts) -> store(window, counts, isFinal = isLeaving || window < current) }
         windows.entries.removeIf { (window, counts) -> counts.isStored && window < current }
     }
 
     private suspend fun store(
         window: UsageWindow,
         counts: WindowCounts,
+        isFinal: Boolean,
     ) {
         counts.isStored = true
+        counts.isFinal = isFinal
         val error = write(window, counts).leftOrNull() ?: return
         counts.isStored = false
         log.warn("event=usage_not_stored window={} {}", window.id, error.describe())
@@ -102,6 +114,8 @@
                 counts.begun.map { (who, begun) ->
                     UsageCount(who, DIRECT_CLASS, requests = begun)
                 },
+                counts.isFinal,
+                isLeaving,
             )
         val writes =
             listOf(
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
@@ -39,6 +39,7 @@
     val usage: (OrganisationId) -> Unit,
     val random: (Int) -> Int,
 ) {
+    val queues = StreamQueues(loop, nowMs, instances)
     private val budgets = HashMap<UpstreamName, RetryBudget>()
 
     /** Set by the first planned stop; answers then end their connections. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
@@ -65,14 +65,18 @@
     val storeNowMs: () -> Long?,
 )
 
-/** Times of the control side of an entry. */
+/**
+ * Times of the control side of an entry. A window's usage is reported [usageGrace] after its end when all entries have
+ * stored theirs, and [usagePatience] after it in any case.
+ */
 data class GatewayTimes(
     val usageWindow: Duration,
     val stopLimit: Duration,
     val configWait: Duration = 1.seconds,
     val registryInterval: Duration = 900.milliseconds,
-    val usageGrace: Duration = 2.seconds,
-    val usageInterval: Duration = 1_500.milliseconds,
+    val usageGrace: Duration = 600.milliseconds,
+    val usagePatience: Duration = 7_500.milliseconds,
+    val usageInterval: Duration = 1.seconds,
     val leaseTimes: LeaseTimes =
         LeaseTimes(
             durationMs = 4_000,
@@ -190,6 +194,12 @@
                 times.usageWindow.inWholeMilliseconds,
                 times.usageGrace,
                 times.leaseTimes.orderDeadlineMs.milliseconds,
+                UsageSettling(
+                    usageTable,
+                    sharedClock,
+                    times.usageWindow.inWholeMilliseconds,
+                    times.usagePatience,
+                )::isSettled,
             )
         scope.launch { usage.run() }
         scope.launch { usageLease.run() }
@@ -268,11 +278,19 @@
             delay(DRAIN_STEP)
         }
         callers.stopListening()
-        withTimeoutOrNull(LAST_FLUSH) { usage.flush() }
+        if (platform.usage != null) finishUsage(startedMs)
         resigned.cancel()
         log.info("event=drain_ended running={} after_ms={}", callers.running, runtime.nowMs() - startedMs)
     }
 
+    /** Without the store, the last counts are kept for as long as the stop may take: they are lost with the process. */
+    private suspend fun finishUsage(drainStartedMs: Long) {
+        val left = times.stopLimit - (runtime.nowMs() - drainStartedMs).milliseconds
+        withTimeoutOrNull(maxOf(left, LAST_FLUSH)) {
+            while (!usage.finish()) delay(FLUSH_RETRY)
+        } ?: log.warn("event=usage_lost reason=\"the store is away\"")
+    }
+
     private fun metrics(): Page {
         val text = ByteArrayOutputStream()
         PrometheusTextFormatWriter.create().write(text, gateway.metrics.registry.scrape())
@@ -316,5 +334,6 @@
         val LEAST_DRAIN = 2_500.milliseconds
         val DRAIN_STEP = 50.milliseconds
         val LAST_FLUSH = 500.milliseconds
+        val FLUSH_RETRY = 250.milliseconds
     }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -7,6 +7,7 @@
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.UpstreamName
 import io.teaselspring.core.placement.PlacementCandidate
+import io.teaselspring.core.placement.PromptPart
 import io.teaselspring.core.registry.InstanceRegistry
 import io.teaselspring.core.registry.RegisteredInstance
 import io.teaselspring.core.registry.RegistryChange
@@ -87,8 +88,22 @@
         )
     }
 
-    /** Tokens of [parts] that are probably not in the instance's cache; the parts count as read from now on. */
-    fun uncachedTokens(parts: List<PromptPart>): Long = recentParts.read(parts)
+    /**
+     * Tokens of [parts] that are probably not in the instance's cache. A shared part that this entry has not sent there
+     * counts with [unknownShare] of its tokens; the last part is always the call's own.
+     */
+    fun unreadTokens(
+        parts: List<PromptPart>,
+        unknownShare: Double,
+    ): Long {
+        val shared = parts.dropLast(1).filter { it.id !in recentParts }.sumOf { it.tokens }
+        return (shared * unknownShare).toLong() + (parts.lastOrNull()?.tokens ?: 0)
+    }
+
+    /** The instance reads [parts]. */
+    fun noteRead(parts: List<PromptPart>) {
+        parts.dropLast(1).forEach { recentParts.add(it.id) }
+    }
 
     fun candidate(
         nowMs: Long,
@@ -115,12 +130,6 @@
     }
 }
 
-/** A part of a prompt, shared with other calls or not. */
-internal data class PromptPart(
-    val id: String,
-    val tokens: Long,
-)
-
 /** The parts that this entry sent to one instance lately, the least recently used dropped first. */
 private class RecentParts {
     private val parts =
@@ -128,7 +137,11 @@
             override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, Boolean>) = size > MAX_PARTS
         }
 
-    fun read(prompt: List<PromptPart>): Long = prompt.filter { parts.put(it.id, true) == null }.sumOf { it.tokens }
+    operator fun contains(id: String) = parts.containsKey(id)
+
+    fun add(id: String) {
+        parts[id] = true
+    }
 
     private companion object {
         const val INITIAL_SIZE = 64
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/usage/UsageReporter.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/usage/UsageReporter.kt
@@ -42,7 +42,8 @@
 /**
  * Reports windows that ended at least [grace] ago; the grace leaves agents time for their last flush. [epochToSend]
  * tells whether this process holds the lease at this moment. A report is given up after [deadline], well within the
- * time that a successor waits.
+ * time that a successor waits. A window is closed only when [isSettled] says that no usage of it is missing, or that
+ * waiting for it is over.
  */
 class UsageReporter(
     private val own: Incarnation,
@@ -53,6 +54,7 @@
     private val lengthMs: Long,
     private val grace: Duration = 30.seconds,
     private val deadline: Duration = 1.seconds,
+    private val isSettled: suspend (UsageWindow) -> Either<PlatformError, Boolean> = { true.right() },
 ) {
     private var reportedUpTo: UsageWindow? = null
 
@@ -68,6 +70,7 @@
     suspend fun reportDue(): Either<PlatformError, Unit> {
         val due = dueWindows().getOrElse { return it.left() }
         for (window in due) {
+            if (!isSettled(window).getOrElse { return it.left() }) break
             val error = report(window).leftOrNull()
             if (error != null) {
                 log.warn("event=usage_report_failed window={} {}", window.id, error.describe())
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/usage/UsageTable.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/usage/UsageTable.kt
@@ -169,6 +169,22 @@
                 ?.getOrNull(1)
         }
 
+    /** The rows that entries have in [window]. */
+    suspend fun entryRows(window: UsageWindow): Either<PlatformError, Map<Incarnation, EntryUsageRow>> {
+        val prefix = "usage/${window.id}/entry/"
+        val found = LinkedHashMap<Incarnation, EntryUsageRow>()
+        var after: String? = null
+        do {
+            val page = table.scan(TABLE, prefix, after).getOrElse { return it.left() }
+            for (row in page.rows) {
+                found[Incarnation(row.key.removePrefix(prefix))] =
+                    decodeRow<EntryUsageRow>(row).getOrElse { return it.left() }
+            }
+            after = page.rows.lastOrNull()?.key
+        } while (page.more)
+        return found.right()
+    }
+
     private suspend inline fun <reified T> counts(
         prefix: String,
         counts: (T) -> List<UsageCount>,
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/CallRunTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/CallRunTest.kt
@@ -178,7 +178,8 @@
                     After.KEEP
                 }
             withGateway(cutting, resuming) {
-                repeat(4) {
+                // Which instance is asked first is random.
+                repeat(40) {
                     val answer = call(RESUMED)
                     Regex("data: a").findAll(answer).count() shouldBe 1
                     Regex("data: b").findAll(answer).count() shouldBe 1
--- /dev/null
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/DirectUsageTest.kt
@@ -0,0 +1,192 @@
+/*
+ * Guards the counts of usage against entries that are cut off when a window ends, entries that stop, answers of the
+ * store that are lost, and windows that close too early.
+ */
+package io.teaselspring.daemon.gateway
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.teaselspring.core.Incarnation
+import io.teaselspring.core.OrganisationId
+import io.teaselspring.daemon.control.FakePlatform
+import io.teaselspring.daemon.usage.UsageReporter
+import io.teaselspring.daemon.usage.UsageTable
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+private const val LENGTH_MS = 5_000L
+private val hotel = OrganisationId("hotel")
+
+private class Fleet {
+    var nowMs = 0L
+    val platform = FakePlatform()
+    private val clock =
+        object : Clock {
+            override fun now() = Instant.fromEpochMilliseconds(nowMs)
+        }
+    private val table = UsageTable(platform.platform.table)
+
+    fun entry(name: String) = DirectUsage(Incarnation(name), table, clock, LENGTH_MS)
+
+    fun reporter(): UsageReporter {
+        val settling = UsageSettling(table, clock, LENGTH_MS, patience = 7.seconds)
+        return UsageReporter(
+            Incarnation("reporter"),
+            table,
+            platform.platform.usage,
+            clock,
+            { 1 },
+            LENGTH_MS,
+            grace = 600.milliseconds,
+            isSettled = settling::isSettled,
+        )
+    }
+
+    /** The reported requests of [hotel] by window start. */
+    fun reported(): Map<Long, Long> =
+        platform.reports.associate { report ->
+            val classes =
+                report.figures["hotel"]
+                    ?.jsonObject
+                    ?.values
+                    .orEmpty()
+            report.window.toLong() to
+                classes.sumOf {
+                    it.jsonObject
+                        .getValue("requests")
+                        .jsonPrimitive.long
+                }
+        }
+}
+
+private fun DirectUsage.began(count: Int) = repeat(count) { began(hotel) }
+
+class DirectUsageTest :
+    FunSpec({
+        test("a window is reported soon after its end when all entries have stored their counts") {
+            val fleet = Fleet()
+            val first = fleet.entry("a")
+            val second = fleet.entry("b")
+            first.began(3)
+            second.began(4)
+            fleet.nowMs = LENGTH_MS + 300
+            first.flush()
+            second.flush()
+            fleet.nowMs = LENGTH_MS + 700
+            fleet.reporter().reportDue()
+            fleet.reported() shouldBe mapOf(0L to 7L)
+        }
+
+        test("a window waits for an entry that is cut off, and takes its counts when it is back in time") {
+            val fleet = Fleet()
+            val first = fleet.entry("a")
+            val cutOff = fleet.entry("b")
+            first.began(3)
+            cutOff.began(4)
+            fleet.nowMs = 2_500
+            first.flush()
+            cutOff.flush()
+            cutOff.began(5)
+            fleet.nowMs = LENGTH_MS + 300
+            first.flush()
+            fleet.nowMs = LENGTH_MS + 3_000
+            val reporter = fleet.reporter()
+            reporter.reportDue()
+            fleet.reported() shouldBe emptyMap()
+            fleet.nowMs = LENGTH_MS + 5_000
+            cutOff.flush()
+            reporter.reportDue()
+            fleet.reported() shouldBe mapOf(0L to 12L)
+        }
+
+        test("a window waits also for an entry that had a row only in the window before") {
+            val fleet = Fleet()
+            val first = fleet.entry("a")
+            val cutOff = fleet.entry("b")
+            listOf(first, cutOff).forEach { it.began(1) }
+            fleet.nowMs = LENGTH_MS + 300
+            listOf(first, cutOff).forEach { it.flush() }
+            cutOff.began(6)
+            fleet.nowMs = 2 * LENGTH_MS + 300
+            first.flush()
+            fleet.nowMs = 2 * LENGTH_MS + 3_000
+            val reporter = fleet.reporter()
+            reporter.reportDue()
+            fleet.reported() shouldBe mapOf(0L to 2L)
+            cutOff.flush()
+            reporter.reportDue()
+            fleet.reported() shouldBe mapOf(0L to 2L, LENGTH_MS to 6L)
+        }
+
+        test("a window does not wait for a killed entry beyond its patience, nor for one that stopped as planned") {
+            val fleet = Fleet()
+            val first = fleet.entry("a")
+            val killed = fleet.entry("b")
+            val stopped = fleet.entry("c")
+            listOf(first, killed, stopped).forEach { it.began(2) }
+            fleet.nowMs = 2_500
+            listOf(first, killed).forEach { it.flush() }
+            stopped.finish() shouldBe true
+            fleet.nowMs = LENGTH_MS + 300
+            first.flush()
+            fleet.nowMs = LENGTH_MS + 6_999
+            val reporter = fleet.reporter()
+            reporter.reportDue()
+            fleet.reported() shouldBe emptyMap()
+            fleet.nowMs = LENGTH_MS + 7_000
+            reporter.reportDue()
+            fleet.reported() shouldBe mapOf(0L to 6L)
+            // The killed one may still be cut off only, so the next window waits for it, and the one after it does not.
+            fleet.nowMs = 2 * LENGTH_MS + 300
+            first.flush()
+            fleet.nowMs = 2 * LENGTH_MS + 7_000
+            reporter.reportDue()
+            fleet.nowMs = 3 * LENGTH_MS + 300
+            first.flush()
+            fleet.nowMs = 3 * LENGTH_MS + 700
+            reporter.reportDue()
+            fleet.reported().keys shouldBe setOf(0L, LENGTH_MS, 2 * LENGTH_MS)
+        }
+
+        test("a stop reports that its counts could not be stored, and stores them when the store is back") {
+            val fleet = Fleet()
+            val entry = fleet.entry("a")
+            entry.began(3)
+            fleet.platform.outage = true
+            entry.finish() shouldBe false
+            fleet.platform.outage = false
+            entry.finish() shouldBe true
+        }
+
+        test("a lost answer of the store neither loses nor doubles counts") {
+            val fleet = Fleet()
+            val entry = fleet.entry("a")
+            entry.began(3)
+            fleet.platform.loseResponses = 1
+            entry.flush()
+            entry.began(2)
+            fleet.platform.loseRequests = 1
+            entry.flush()
+            fleet.nowMs = LENGTH_MS + 300
+            entry.flush()
+            fleet.nowMs = LENGTH_MS + 700
+            fleet.reporter().reportDue()
+            fleet.reported() shouldBe mapOf(0L to 5L)
+        }
+
+        test("a window without calls is reported too") {
+            val fleet = Fleet()
+            val entry = fleet.entry("a")
+            entry.flush()
+            fleet.nowMs = LENGTH_MS + 300
+            entry.flush()
+            fleet.nowMs = LENGTH_MS + 700
+            fleet.reporter().reportDue()
+            fleet.reported() shouldBe mapOf(0L to 0L)
+        }
+    })
