--- a/core/src/main/kotlin/io/teaselspring/core/placement/CallQueue.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/CallQueue.kt
@@ -1,8 +1,8 @@
 /*
- * The queue of an entry for calls with a prompt. Each engine gets only as many unread prompt tokens as it can take up
- * soon; what exceeds that waits here, where a crash of the engine cannot lose it, and in order of priority. A call goes
- * to the engine that keeps its shared part, and to another one only when reading the part again costs less than the
- * wait. A call that has waited too long to be worth its work is refused at once.
+ * The queue of an entry for calls with a prompt. Each engine gets only as many unread prompt tokens as it can take
+ * up soon; what exceeds that waits here, where a crash of the engine cannot lose it, and in order of priority. A
+ * call goes to the engine that keeps its shared part, and to another one only when reading the part again costs
+ * less than the wait. A call that has waited too long to be worth its work is refused at once.
  */
 package io.teaselspring.core.placement
 
@@ -63,17 +63,18 @@
 }
 
 /**
- * The rules. An engine takes a call when it has nothing unread from this entry, or when no more than [windowTokens] are
- * unread with it. A call is sent away from its home when it has waited [spillAfterMs] and another engine could read the
- * whole prompt before the home has read what is pending there, taking [entries] entries to send alike. An engine with
- * [mostWork] requests takes no more.
+ * The rules. An engine takes a call when it has nothing unread from this entry, or when no more than
+ * [windowTokens] are unread with it, [interactiveWindowTokens] for interactive calls. A call is sent away from its
+ * home when it has waited [spillAfterMs] and another engine could read the whole prompt before the home has read
+ * what is pending there, taking [entries] entries to send alike. An engine with [mostWork] requests takes no more.
  */
 public data class QueuePolicy(
     val windowTokens: Long = 40_000,
+    val interactiveWindowTokens: Long = 4_000,
     val spillAfterMs: Long = 1_500,
     val entries: Int = 5,
     val mostWork: Double = 60.0,
-    val reservedShare: Double = 0.25,
+    val reservedShare: Double = 0.15,
     val minimumForReserve: Int = 4,
 )
 
@@ -98,8 +99,8 @@
 
     /**
      * Decides at [nowMs] what becomes of the waiting calls on [engines]. [reserves] tells whether the engines serve
-     * both interactive and other calls. [started] is called for each start before the next call is looked at, so that the
-     * engines' figures are up to date.
+     * both interactive and other calls. [started] is called for each start before the next call is looked at, so that
+     * the engines' figures are up to date.
      */
     public fun dispatch(
         nowMs: Long,
@@ -114,7 +115,7 @@
         val remaining = waiting.toList()
         waiting.clear()
         for (call in remaining) {
-            val engine = engineFor(call, groups.of(call.isInteractive), nowMs)
+            val engine = engineFor(call, groups.of(call.isInteractive), nowMs) ?: groups.overflowFor(call)
             when {
                 engine != null -> started(QueueDecision.Start(call, engine.id))
                 nowMs >= call.refuseAfterMs -> refused += QueueDecision.Refuse(call)
@@ -131,14 +132,14 @@
     ): EngineView? {
         val home = homeOf(call, engines) ?: return null
         val atHome = home.unreadTokens(call.parts, isHome = true)
-        if (home.hasRoom(atHome)) return home
+        if (home.hasRoom(atHome, windowOf(call))) return home
         if (nowMs - call.arrivedMs < policy.spillAfterMs) return null
         val limit = home.pendingTokens * policy.entries + atHome
         return engines
             .filter { it !== home }
             .map { it to it.unreadTokens(call.parts, isHome = false) }
             .filter { (engine, unread) ->
-                engine.hasRoom(unread) &&
+                engine.hasRoom(unread, windowOf(call)) &&
                     engine.pendingTokens * policy.entries + unread < limit
             }.minByOrNull { (engine, unread) -> engine.pendingTokens * policy.entries + unread }
             ?.first
@@ -152,8 +153,13 @@
         return engines.maxByOrNull { rank(part.orEmpty(), it.id) }
     }
 
-    private fun EngineView.hasRoom(unread: Long) =
-        work < policy.mostWork && (pendingTokens == 0L || pendingTokens + unread <= policy.windowTokens)
+    private fun windowOf(call: QueuedCall) =
+        if (call.isInteractive) policy.interactiveWindowTokens else policy.windowTokens
+
+    private fun EngineView.hasRoom(
+        unread: Long,
+        windowTokens: Long,
+    ) = work < policy.mostWork && (pendingTokens == 0L || pendingTokens + unread <= windowTokens)
 
     private inner class Groups(
         engines: List<EngineView>,
@@ -168,6 +174,19 @@
             return sound.filter { (it.id in reserved) == isInteractive }.ifEmpty { sound }
         }
 
+        /** The first engine beyond the reserved ones that can take an interactive call at once; it cannot wait long. */
+        fun overflowFor(call: QueuedCall): EngineView? {
+            if (!call.isInteractive || reserved == null) return null
+            return sound
+                .filter {
+                    it.id !in reserved &&
+                        it.hasRoom(
+                            it.unreadTokens(call.parts, isHome = false),
+                            windowOf(call),
+                        )
+                }.maxByOrNull { rank(RESERVE_SEED, it.id) }
+        }
+
         private fun reservedOf(ids: List<InstanceId>) = reservedInstances(ids, policy.reservedShare)
     }
 }
--- a/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
@@ -35,7 +35,7 @@
  * A call leaves its place in the order when the instance has over [spillRatio] times the mean work plus [spillSlack].
  */
 public data class PlacementPolicy(
-    val reservedShare: Double = 0.25,
+    val reservedShare: Double = 0.15,
     val minimumForReserve: Int = 4,
     val spillRatio: Double = 1.5,
     val spillSlack: Double = 2.0,
@@ -110,7 +110,7 @@
     return hash xor (hash ushr 33)
 }
 
-private const val RESERVE_SEED = "reserve"
+internal const val RESERVE_SEED = "reserve"
 
 /** Cost of an instance in another data centre, in full batches. */
 private const val REMOTE_COST = 0.05
--- a/core/src/test/kotlin/io/teaselspring/core/freshness/FreshnessTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/freshness/FreshnessTest.kt
@@ -1,6 +1,6 @@
 /*
- * Guards against serving on knowledge that is older than it seems: after a suspension of the machine, during which the
- * monotonic clock stands still, and with reads that are answered late.
+ * Guards against serving on knowledge that is older than it seems: after a suspension of the machine, during which
+ * the monotonic clock stands still, and with reads that are answered late.
  */
 package io.teaselspring.core.freshness
 
--- a/core/src/test/kotlin/io/teaselspring/core/registry/InstanceRegistryTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/registry/InstanceRegistryTest.kt
@@ -1,6 +1,6 @@
 /*
- * Guards against losing live instances when the registry forgets them during its own outage, and against keeping those
- * that are gone.
+ * Guards against losing live instances when the registry forgets them during its own outage, and against keeping
+ * those that are gone.
  */
 package io.teaselspring.core.registry
 
--- /dev/null
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/PlainCalls.kt
@@ -0,0 +1,133 @@
+/*
+ * Plain calls on the upstream beside an agent. Each call has a connection of its own: a reused one that the
+ * upstream has closed meanwhile would fail a call of unknown outcome.
+ */
+package io.teaselspring.daemon.agent
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
+import io.netty.channel.EventLoop
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import io.teaselspring.daemon.http.Exchange
+import io.teaselspring.daemon.http.ExchangeListener
+import io.teaselspring.daemon.http.HttpConnections
+import io.teaselspring.daemon.http.OutgoingRequest
+import io.teaselspring.daemon.http.REQUEST_ID_HEADER
+import io.teaselspring.daemon.http.forUpstream
+import io.teaselspring.protocol.Header
+import io.teaselspring.protocol.Message
+import kotlinx.coroutines.channels.Channel
+import java.net.URI
+import kotlin.time.Duration
+import kotlin.time.TimeSource
+
+/** What comes back of a plain call: a head, pieces, and one of the others; or one of the others alone. */
+internal sealed interface PlainEvent {
+    data class Head(
+        val status: Int,
+        val headers: List<Header>,
+    ) : PlainEvent
+
+    class Piece(
+        val bytes: ByteArray,
+    ) : PlainEvent
+
+    data object End : PlainEvent
+
+    data class Broken(
+        val reason: String,
+    ) : PlainEvent
+
+    data class NotSent(
+        val reason: String,
+    ) : PlainEvent
+}
+
+/** Makes plain calls at [baseUrl]; [connectLimit] bounds the opening of a connection. */
+internal class PlainCalls(
+    baseUrl: String,
+    connectLimit: Duration,
+) : AutoCloseable {
+    private val url = URI(baseUrl)
+    private val address = "${url.host}:${if (url.port > 0) url.port else DEFAULT_PORT}"
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop = group.next() as EventLoop
+    private val start = TimeSource.Monotonic.markNow()
+    private val connections =
+        HttpConnections(loop, { start.elapsedNow().inWholeMilliseconds }, connectLimit, areKept = false)
+
+    /** Begins the call of [submit]; it must be closed. */
+    fun begin(submit: Message.Submit): PlainCall {
+        val headers = DefaultHttpHeaders()
+        headers[HttpHeaderNames.HOST] = address
+        submit.headers.forUpstream().forEach { headers.add(it.name, it.value) }
+        headers[REQUEST_ID_HEADER] = submit.requestId.value
+        val uri = url.rawPath.removeSuffix("/") + submit.path
+        val body = Unpooled.wrappedBuffer(submit.body)
+        return PlainCall(OutgoingRequest(HttpMethod.valueOf(submit.method), uri, headers, body))
+    }
+
+    override fun close() {
+        group.shutdownGracefully()
+    }
+
+    /** One call under way. */
+    inner class PlainCall(
+        request: OutgoingRequest,
+    ) : AutoCloseable {
+        private val events = Channel<PlainEvent>(Channel.UNLIMITED)
+        private var exchange: Exchange? = null
+        private var isClosed = false
+
+        init {
+            loop.execute { if (!isClosed) exchange = connections.server(address).send(request, Listener()) }
+        }
+
+        /** Waits for the next event. */
+        suspend fun next(): PlainEvent {
+            val event = events.receive()
+            // Reading stops at each piece, so that no more piles up here than the caller takes.
+            if (event is PlainEvent.Piece) loop.execute { exchange?.readOn(true) }
+            return event
+        }
+
+        /** Closes the connection unless the answer is complete. */
+        override fun close() {
+            loop.execute {
+                isClosed = true
+                exchange?.cancel()
+            }
+        }
+
+        private inner class Listener : ExchangeListener {
+            override fun notSent(reason: String) = put(PlainEvent.NotSent(reason))
+
+            override fun head(response: HttpResponse) =
+                put(PlainEvent.Head(response.status().code(), response.headers().map { Header(it.key, it.value) }))
+
+            override fun body(piece: ByteBuf) {
+                if (!piece.isReadable) return
+                exchange?.readOn(false)
+                put(PlainEvent.Piece(ByteBufUtil.getBytes(piece)))
+            }
+
+            override fun end() = put(PlainEvent.End)
+
+            override fun broken(reason: String) = put(PlainEvent.Broken(reason))
+
+            private fun put(event: PlainEvent) {
+                events.trySend(event)
+            }
+        }
+    }
+
+    private companion object {
+        const val DEFAULT_PORT = 80
+    }
+}
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/UpstreamClient.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/UpstreamClient.kt
@@ -15,22 +15,20 @@
 import io.ktor.client.request.HttpRequestBuilder
 import io.ktor.client.request.get
 import io.ktor.client.request.header
-import io.ktor.client.request.prepareRequest
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.bodyAsBytes
-import io.ktor.client.statement.bodyAsChannel
 import io.ktor.http.HttpMethod
 import io.ktor.http.HttpStatusCode
 import io.ktor.http.encodedPath
 import io.ktor.http.isSuccess
 import io.ktor.http.takeFrom
 import io.ktor.sse.ServerSentEvent
-import io.ktor.utils.io.readAvailable
 import io.teaselspring.daemon.http.REQUEST_ID_HEADER
 import io.teaselspring.daemon.http.forCaller
 import io.teaselspring.daemon.http.forUpstream
 import io.teaselspring.daemon.http.toHeaderList
+import io.teaselspring.protocol.Header
 import io.teaselspring.protocol.Message
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Job
@@ -44,7 +42,6 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-private const val CHUNK_BYTES = 16 * 1024
 private const val DONE = "[DONE]"
 private const val STALL_FACTOR = 20
 private val MIN_IDLE = 3.seconds
@@ -74,11 +71,11 @@
             }
         }
 
-    private val plainClient = plainHttpClient(connectLimit)
+    private val plainCalls = PlainCalls(baseUrl, connectLimit)
 
     override fun close() {
         client.close()
-        plainClient.close()
+        plainCalls.close()
     }
 
     /** True if the upstream answers its health check with success within [timeout]. */
@@ -125,23 +122,13 @@
 
     /** Passes a plain call through. */
     suspend fun call(attempt: Attempt): RunResult =
-        guarded {
-            plainClient.prepareRequest { prepare(attempt.submit, emptySet()) }.execute { response ->
-                attempt.sendStarted(response)
-                val body = response.bodyAsChannel()
-                val buffer = ByteArray(CHUNK_BYTES)
-                while (true) {
-                    val count = withTimeoutOrNull(streamIdle) { body.readAvailable(buffer) }
-                    when {
-                        count == null -> return@execute RunResult.Broken("no data for $streamIdle")
-                        count < 0 -> break
-                        count == 0 -> continue
-                        !attempt.sendChunk(buffer.copyOf(count)) && !attempt.runsToItsEnd ->
-                            return@execute RunResult.Stopped
-                    }
-                }
-                RunResult.Complete
+        plainCalls.begin(attempt.submit).use { call ->
+            var result = attempt.relay(call.next())
+            while (result == null) {
+                val event = withTimeoutOrNull(streamIdle) { call.next() }
+                result = if (event == null) RunResult.Broken("no data for $streamIdle") else attempt.relay(event)
             }
+            result
         }
 
     private suspend fun ClientSSESession.relay(
@@ -202,6 +189,19 @@
     }
 }
 
+/** Sends [event] of a plain call on; returns how the run ends if it is the last one or nobody takes it. */
+private suspend fun Attempt.relay(event: PlainEvent): RunResult? =
+    when (event) {
+        is PlainEvent.NotSent -> RunResult.NotSent(event.reason)
+        is PlainEvent.Broken -> RunResult.Broken(event.reason)
+        PlainEvent.End -> RunResult.Complete
+        is PlainEvent.Head -> {
+            sendStarted(event.status, event.headers.forCaller())
+            null
+        }
+        is PlainEvent.Piece -> if (!sendChunk(event.bytes) && !runsToItsEnd) RunResult.Stopped else null
+    }
+
 /** Sends [event] on; returns how the run ends if it is the last event, a wrong one or null for an early end. */
 private suspend fun Attempt.relay(event: ServerSentEvent?): RunResult? {
     val data = event?.data
@@ -217,11 +217,16 @@
     }
 }
 
-private suspend fun Attempt.sendStarted(response: HttpResponse) {
+private suspend fun Attempt.sendStarted(response: HttpResponse) =
+    sendStarted(response.status.value, response.headers.toHeaderList().forCaller())
+
+private suspend fun Attempt.sendStarted(
+    status: Int,
+    headers: List<Header>,
+) {
     if (startedSent) return
     startedSent = true
-    val headers = response.headers.toHeaderList().forCaller()
-    session.link.send(Message.Started(submit.requestId, submit.attempt, response.status.value, headers))
+    session.link.send(Message.Started(submit.requestId, submit.attempt, status, headers))
 }
 
 private fun retryAfterMs(response: HttpResponse) =
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallAttempt.kt
@@ -12,6 +12,9 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
 import io.teaselspring.core.routing.CallKind
+import io.teaselspring.daemon.http.Exchange
+import io.teaselspring.daemon.http.ExchangeListener
+import io.teaselspring.daemon.http.OutgoingRequest
 
 /** Headers that came from a parser need no second check. */
 private val uncheckedHeaders = DefaultHttpHeadersFactory.headersFactory().withValidation(false)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/DirectUsage.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/DirectUsage.kt
@@ -8,6 +8,7 @@
 import arrow.core.Either
 import io.teaselspring.core.ClassName
 import io.teaselspring.core.Incarnation
+import io.teaselspring.core.InstanceId
 import io.teaselspring.core.OrganisationId
 import io.teaselspring.core.usage.EntryUsageRow
 import io.teaselspring.core.usage.UsageCount
@@ -36,6 +37,12 @@
 /** Calls without an agent all count in one class. */
 private val DIRECT_CLASS = ClassName("direct")
 
+/** The process of [instance] that has started now. */
+internal fun newIncarnation(instance: InstanceId) = Incarnation("$instance/${UUID.randomUUID()}")
+
+/** The instance whose process this is. */
+internal val Incarnation.instance: String get() = value.substringBeforeLast('/')
+
 private class WindowCounts {
     val begun = HashMap<OrganisationId, Long>()
     var rowVersion = ABSENT
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
@@ -10,7 +10,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
-import io.teaselspring.core.Incarnation
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.lease.ClockReading
 import io.teaselspring.core.lease.LeaseTimes
@@ -18,6 +17,7 @@
 import io.teaselspring.core.routing.CallConfig
 import io.teaselspring.core.routing.CallerLimits
 import io.teaselspring.daemon.Running
+import io.teaselspring.daemon.http.HttpConnections
 import io.teaselspring.daemon.lease.LeaseKeeper
 import io.teaselspring.daemon.usage.USAGE_LEASE
 import io.teaselspring.daemon.usage.UsageReporter
@@ -25,6 +25,7 @@
 import io.teaselspring.ports.TableStore
 import io.teaselspring.ports.UsageIntake
 import io.teaselspring.ports.WatchedTable
+import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.delay
@@ -38,7 +39,6 @@
 import org.slf4j.LoggerFactory
 import java.io.ByteArrayOutputStream
 import java.net.InetSocketAddress
-import java.util.UUID
 import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -72,8 +72,8 @@
 data class GatewayTimes(
     val usageWindow: Duration,
     val stopLimit: Duration,
-    val configWait: Duration = 1.seconds,
-    val registryInterval: Duration = 900.milliseconds,
+    val configWait: Duration = 2.seconds,
+    val registryInterval: Duration = 1_400.milliseconds,
     val usageGrace: Duration = 600.milliseconds,
     val usagePatience: Duration = 7_500.milliseconds,
     val usageInterval: Duration = 1.seconds,
@@ -81,7 +81,7 @@
         LeaseTimes(
             durationMs = 4_000,
             renewMs = 1_300,
-            pollMs = 2_000,
+            pollMs = 3_000,
             safetyMs = 800,
             marginMs = 300,
             orderDeadlineMs = 800,
@@ -97,6 +97,9 @@
     /** HTTP calls on the event loop. */
     val calls: HttpCalls = HttpCalls(connections)
 
+    /** Runs on the event loop, as all calls must. */
+    val dispatcher: CoroutineDispatcher = loop.asCoroutineDispatcher()
+
     /** Both clocks now. */
     val clock: () -> ClockReading = { ClockReading(nowMs(), System.currentTimeMillis()) }
 
@@ -114,7 +117,7 @@
     times: GatewayTimes,
     scope: CoroutineScope,
 ): Running {
-    val onLoop = runtime.loop.asCoroutineDispatcher()
+    val onLoop = runtime.dispatcher
     val server = withContext(onLoop) { GatewayServer(runtime, settings, platform, times, scope + onLoop) }
     // Binding waits for the event loop and must not be done on it.
     server.listen(addresses)
@@ -130,7 +133,7 @@
     private val times: GatewayTimes,
     private val scope: CoroutineScope,
 ) {
-    private val own = Incarnation("${settings.instance}/${UUID.randomUUID()}")
+    private val own = newIncarnation(settings.instance)
     private val sharedClock = SharedClock(platform.table, platform.storeNowMs)
     private val usageTable = UsageTable(platform.table)
     private val usage = DirectUsage(own, usageTable, sharedClock, times.usageWindow.inWholeMilliseconds)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HttpCalls.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HttpCalls.kt
@@ -14,6 +14,9 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
+import io.teaselspring.daemon.http.ExchangeListener
+import io.teaselspring.daemon.http.HttpConnections
+import io.teaselspring.daemon.http.OutgoingRequest
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.coroutines.resume
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
@@ -1,6 +1,6 @@
 /*
- * Runs the queue for calls with a prompt: one for each upstream, looked at whenever an engine has taken up work and in
- * short steps while calls wait.
+ * Runs the queue for calls with a prompt: one for each upstream, looked at whenever an engine has taken up work and
+ * in short steps while calls wait.
  */
 package io.teaselspring.daemon.gateway
 
@@ -130,7 +130,7 @@
     fun noteRead(parts: List<PromptPart>): Long = unreadTokens(parts, isHome = true).also { state.noteRead(parts) }
 
     private companion object {
-        /** Share of the tokens of a shared part that an engine has to read, if only other entries can have sent it there. */
+        /** Share of a shared part that an engine has to read, if only other entries can have sent it there. */
         const val UNKNOWN_AT_HOME = 0.3
     }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -11,6 +11,8 @@
 import io.teaselspring.core.registry.InstanceRegistry
 import io.teaselspring.core.registry.RegisteredInstance
 import io.teaselspring.core.registry.RegistryChange
+import io.teaselspring.daemon.http.HttpConnections
+import io.teaselspring.daemon.http.ServerConnections
 import org.slf4j.LoggerFactory
 import kotlin.math.exp
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UsageSettling.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UsageSettling.kt
@@ -32,7 +32,7 @@
     suspend fun isSettled(window: UsageWindow): Either<PlatformError, Boolean> {
         val expected = membersBefore(window).getOrElse { return it.left() }
         val rows = table.entryRows(window).getOrElse { return it.left() }
-        val missing = (expected + rows.keys).filter { rows[it]?.isFinal != true }
+        val missing = (expected + rows.keys).filter { rows[it]?.isFinal != true && !it.isReplacedIn(rows.keys) }
         val waitedMs = clock.now().toEpochMilliseconds() - window.startMs - lengthMs
         val isOver = waitedMs >= patience.inWholeMilliseconds
         if (missing.isNotEmpty() && !isOver) return false.right()
@@ -47,5 +47,8 @@
         return table.entryRows(before).map(::staying)
     }
 
+    /** A later process of the same instance shows that this one has ended, and that its counts will not come. */
+    private fun Incarnation.isReplacedIn(all: Set<Incarnation>) = all.any { it != this && it.instance == instance }
+
     private fun staying(rows: Map<Incarnation, EntryUsageRow>) = rows.filterValues { !it.isLeaving }.keys
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
@@ -2,7 +2,7 @@
  * One connection to an HTTP server: matches answers to the request by the echoed id, and tells a complete answer from
  * one that was cut off, garbled or doubled.
  */
-package io.teaselspring.daemon.gateway
+package io.teaselspring.daemon.http
 
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HttpConnections.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
@@ -3,7 +3,7 @@
  * carries one exchange at a time and is kept for further ones while the server allows it. Everything runs on one
  * event loop. Netty is used without Ktor's client because that one takes answers cut off by the server as complete.
  */
-package io.teaselspring.daemon.gateway
+package io.teaselspring.daemon.http
 
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.ByteBuf
@@ -69,11 +69,14 @@
     val idHeader: String? = null,
 )
 
-/** Opens and keeps connections. [connectLimit] bounds the opening of one. */
+/**
+ * Opens connections, and keeps them for further exchanges if [areKept]. [connectLimit] bounds the opening of one.
+ */
 internal class HttpConnections(
     val loop: EventLoop,
     private val nowMs: () -> Long,
     private val connectLimit: Duration = 400.milliseconds,
+    val areKept: Boolean = true,
 ) {
     private val servers = HashMap<String, ServerConnections>()
 
@@ -186,7 +189,7 @@
     fun now() = connections.now()
 
     fun keep(connection: HttpConnection) {
-        idle.addLast(connection)
+        if (connections.areKept) idle.addLast(connection) else connection.close()
     }
 
     fun closed(connection: HttpConnection) {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/usage/UsageReporter.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/usage/UsageReporter.kt
@@ -84,8 +84,9 @@
     private suspend fun dueWindows(): Either<PlatformError, List<UsageWindow>> {
         val endedMs = clock.now().toEpochMilliseconds() - grace.inWholeMilliseconds - lengthMs
         val last = usageWindowOf(endedMs, lengthMs)
-        val earliest = table.earliestWindow().getOrElse { return it.left() }?.let(::usageWindowNamed)
-        val first = earliest ?: return emptyList<UsageWindow>().right()
+        val isDone = last == reportedUpTo
+        val earliest = if (isDone) null else table.earliestWindow().getOrElse { return it.left() }
+        val first = earliest?.let(::usageWindowNamed) ?: return emptyList<UsageWindow>().right()
         val due = ArrayDeque<UsageWindow>()
         var window = last
         while (window >= first && window != reportedUpTo && due.size < MAX_WINDOWS_BACK) {
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/CallRunTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/CallRunTest.kt
@@ -1,6 +1,6 @@
 /*
- * Guards what callers and upstreams see of a call on an entry without agents: whole answers or visibly broken ones, no
- * second run where there must be none, the timeout of the route, and keys that upstreams never see.
+ * Guards what callers and upstreams see of a call on an entry without agents: whole answers or visibly broken ones,
+ * no second run where there must be none, the timeout of the route, and keys that upstreams never see.
  */
 package io.teaselspring.daemon.gateway
 
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/DirectUsageTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/DirectUsageTest.kt
@@ -153,6 +153,21 @@
             fleet.reported().keys shouldBe setOf(0L, LENGTH_MS, 2 * LENGTH_MS)
         }
 
+        test("a window does not wait for a killed process whose instance has a new one") {
+            val fleet = Fleet()
+            val killed = fleet.entry("a/1")
+            killed.began(2)
+            fleet.nowMs = 2_500
+            killed.flush()
+            val next = fleet.entry("a/2")
+            next.began(3)
+            fleet.nowMs = LENGTH_MS + 300
+            next.flush()
+            fleet.nowMs = LENGTH_MS + 700
+            fleet.reporter().reportDue()
+            fleet.reported() shouldBe mapOf(0L to 5L)
+        }
+
         test("a stop reports that its counts could not be stored, and stores them when the store is back") {
             val fleet = Fleet()
             val entry = fleet.entry("a")
