Share engines out to three groups of streams by their allowed pause

Change: EngineShares gives each group of allowed pauses its own engines (15 %, 25 %, the rest); it replaces the single reserved share. The same function serves the queue and the placement of repeats.

--- a/core/src/main/kotlin/io/teaselspring/core/placement/CallQueue.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/CallQueue.kt
@@ -15,13 +15,14 @@
 )
 
 /**
- * A call that waits. The last of [parts] is its own, the others are shared. [refuseAfterMs] is the moment after which
- * it is not worth starting any more, [lateAfterMs] the one after which its answer comes late.
+ * A call that waits. The last of [parts] is its own, the others are shared. [group] tells which engines it may go to.
+ * [refuseAfterMs] is the moment after which it is not worth starting any more, [lateAfterMs] the one after which its
+ * answer comes late.
  */
 public data class QueuedCall(
     val id: Long,
     val parts: List<PromptPart>,
-    val isInteractive: Boolean,
+    val group: CallGroup,
     val priority: Int,
     val arrivedMs: Long,
     val lateAfterMs: Long,
@@ -74,8 +75,6 @@
     val spillAfterMs: Long = 1_500,
     val entries: Int = 5,
     val mostWork: Double = 60.0,
-    val reservedShare: Double = 0.15,
-    val minimumForReserve: Int = 4,
 )
 
 /** The queue. Not thread-safe. */
@@ -98,24 +97,24 @@
     }
 
     /**
-     * Decides at [nowMs] what becomes of the waiting calls on [engines]. [reserves] tells whether the engines serve
-     * both interactive and other calls. [started] is called for each start before the next call is looked at, so that
+     * Decides at [nowMs] what becomes of the waiting calls on [engines], which are shared out to [groups] groups of
+     * calls. [started] is called for each start before the next call is looked at, so that
      * the engines' figures are up to date.
      */
     public fun dispatch(
         nowMs: Long,
         engines: List<EngineView>,
-        reserves: Boolean,
+        groups: Int,
         started: (QueueDecision.Start) -> Unit,
     ): List<QueueDecision.Refuse> {
-        val groups = Groups(engines, reserves)
+        val shares = EngineShares(engines, groups)
         // What comes too late for its target follows what can still make it, within each priority.
         waiting.sortWith(compareBy({ it.priority }, { nowMs >= it.lateAfterMs }, { it.arrivedMs }))
         val refused = mutableListOf<QueueDecision.Refuse>()
         val remaining = waiting.toList()
         waiting.clear()
         for (call in remaining) {
-            val engine = engineFor(call, groups.of(call.isInteractive), nowMs) ?: groups.overflowFor(call)
+            val engine = engineFor(call, shares.of(call), nowMs) ?: shares.overflowFor(call)
             when {
                 engine != null -> started(QueueDecision.Start(call, engine.id))
                 nowMs >= call.refuseAfterMs -> refused += QueueDecision.Refuse(call)
@@ -154,39 +153,34 @@
     }
 
     private fun windowOf(call: QueuedCall) =
-        if (call.isInteractive) policy.interactiveWindowTokens else policy.windowTokens
+        if (call.group.isInteractive) policy.interactiveWindowTokens else policy.windowTokens
 
     private fun EngineView.hasRoom(
         unread: Long,
         windowTokens: Long,
     ) = work < policy.mostWork && (pendingTokens == 0L || pendingTokens + unread <= windowTokens)
 
-    private inner class Groups(
+    private inner class EngineShares(
         engines: List<EngineView>,
-        reserves: Boolean,
+        groups: Int,
     ) {
         private val sound = engines.filter { !it.isAvoided }.ifEmpty { engines }
-        private val reserved =
-            if (reserves && engines.size >= policy.minimumForReserve) reservedOf(engines.map { it.id }) else null
+        private val groupByEngine = shareOut(engines.map { it.id }, groups)
 
-        fun of(isInteractive: Boolean): List<EngineView> {
-            val reserved = reserved ?: return sound
-            return sound.filter { (it.id in reserved) == isInteractive }.ifEmpty { sound }
-        }
+        fun of(call: QueuedCall): List<EngineView> =
+            if (groupByEngine.isEmpty()) {
+                sound
+            } else {
+                sound.filter { groupByEngine[it.id] == call.group.index }.ifEmpty { sound }
+            }
 
-        /** The first engine beyond the reserved ones that can take an interactive call at once; it cannot wait long. */
+        /** The first engine of another group that can take an interactive call at once; it cannot wait long. */
         fun overflowFor(call: QueuedCall): EngineView? {
-            if (!call.isInteractive || reserved == null) return null
+            if (!call.group.isInteractive || groupByEngine.isEmpty()) return null
             return sound
-                .filter {
-                    it.id !in reserved &&
-                        it.hasRoom(
-                            it.unreadTokens(call.parts, isHome = false),
-                            windowOf(call),
-                        )
-                }.maxByOrNull { rank(RESERVE_SEED, it.id) }
+                .filter { groupByEngine[it.id] != call.group.index }
+                .filter { it.hasRoom(it.unreadTokens(call.parts, isHome = false), windowOf(call)) }
+                .maxByOrNull { shareRank(it.id) }
         }
-
-        private fun reservedOf(ids: List<InstanceId>) = reservedInstances(ids, policy.reservedShare)
     }
 }
--- a/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
@@ -1,8 +1,7 @@
 /*
  * Placement of calls on the instances of an upstream that entries call without an agent. Each entry computes the
  * same order of instances for a shared prompt part, so that the part is read into one cache only, and deviates from
- * it when an instance has clearly more work than the others. Streams with the shortest allowed pause get instances
- * of their own, because the prefill of a long prompt delays the tokens of all requests beside it.
+ * it when an instance has clearly more work than the others.
  */
 package io.teaselspring.core.placement
 
@@ -25,38 +24,34 @@
 /** What is known of a call. [sharedPart] identifies the longest part of its prompt that other calls have as well. */
 public data class PlacementRequest(
     val sharedPart: String?,
-    val isInteractive: Boolean,
+    val group: CallGroup,
     val home: DataCentre,
 )
 
 /**
- * The rules. [reservedShare] of the instances, rounded to the nearest and at least one, serve only interactive streams
- * when [reserves] is set.
- * A call leaves its place in the order when the instance has over [spillRatio] times the mean work plus [spillSlack].
+ * The rules. A call leaves its place in the order when the instance has over [spillRatio] times the mean work plus
+ * [spillSlack], or more than [spillPrefillTokens] still to read.
  */
 public data class PlacementPolicy(
-    val reservedShare: Double = 0.15,
-    val minimumForReserve: Int = 4,
     val spillRatio: Double = 1.5,
     val spillSlack: Double = 2.0,
     val spillPrefillTokens: Long = 20_000,
 )
 
 /**
- * Chooses among [candidates], or returns null if there are none outside [tried]. [reserves] tells whether the upstream
- * has both interactive and other streams. [random] returns a uniformly distributed integer below its argument.
+ * Chooses among [candidates], or returns null if there are none outside [tried]. [random] returns a uniformly
+ * distributed integer below its argument.
  */
 public fun placeCall(
     candidates: List<PlacementCandidate>,
     request: PlacementRequest,
-    reserves: Boolean,
     tried: Set<InstanceId>,
     random: (Int) -> Int,
     policy: PlacementPolicy = PlacementPolicy(),
 ): PlacementCandidate? {
     val untried = candidates.filter { it.id !in tried }
     val sound = untried.filter { !it.isAvoided }.ifEmpty { untried }
-    val pool = if (reserves) ownPool(candidates, sound, request.isInteractive, policy) else sound
+    val pool = ownPool(candidates, sound, request.group)
     if (pool.size <= 1) return pool.firstOrNull()
     val part = request.sharedPart ?: return leastLoaded(pool, request.home, random)
     val limit = pool.sumOf { it.work } / pool.size * policy.spillRatio + policy.spillSlack
@@ -69,21 +64,10 @@
 private fun ownPool(
     all: List<PlacementCandidate>,
     sound: List<PlacementCandidate>,
-    isInteractive: Boolean,
-    policy: PlacementPolicy,
+    group: CallGroup,
 ): List<PlacementCandidate> {
-    if (all.size < policy.minimumForReserve) return sound
-    val reserved = reservedInstances(all.map { it.id }, policy.reservedShare)
-    return sound.filter { (it.id in reserved) == isInteractive }.ifEmpty { sound }
-}
-
-/** The same [share] of [ids] on each entry, rounded to the nearest number and at least one. */
-internal fun reservedInstances(
-    ids: List<InstanceId>,
-    share: Double,
-): Set<InstanceId> {
-    val count = Math.round(ids.size * share).toInt().coerceAtLeast(1)
-    return ids.sortedByDescending { rank(RESERVE_SEED, it) }.take(count).toSet()
+    val groups = shareOut(all.map { it.id }, group.count)
+    return if (groups.isEmpty()) sound else sound.filter { groups[it.id] == group.index }.ifEmpty { sound }
 }
 
 private fun leastLoaded(
@@ -110,8 +94,6 @@
     return hash xor (hash ushr 33)
 }
 
-internal const val RESERVE_SEED = "reserve"
-
 /** Cost of an instance in another data centre, in full batches. */
 private const val REMOTE_COST = 0.05
 
--- a/core/src/test/kotlin/io/teaselspring/core/placement/CallQueueTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/placement/CallQueueTest.kt
@@ -27,7 +27,10 @@
     ) = parts.filter { it.id !in read }.sumOf { it.tokens }
 }
 
-private fun rankedFirst(engines: List<TestEngine>) = reservedInstances(engines.map { it.id }, 0.1).single()
+private val greetings = CallGroup(0, 2)
+private val guides = CallGroup(1, 2)
+
+private fun rankedFirst(engines: List<TestEngine>) = engines.maxBy { shareRank(it.id) }.id
 
 private const val TARGET_MS = 1_500L
 
@@ -42,13 +45,13 @@
             subject: String,
             arrivedMs: Long = 0,
             priority: Int = 2,
-            isInteractive: Boolean = false,
+            group: CallGroup = CallGroup.ONLY,
         ): QueuedCall {
             val id = ++lastId
             return QueuedCall(
                 id,
                 listOf(PromptPart(subject, 13_300), PromptPart("own-$id", 3_700)),
-                isInteractive,
+                group,
                 priority,
                 arrivedMs,
                 lateAfterMs = arrivedMs + TARGET_MS,
@@ -60,11 +63,11 @@
         fun CallQueue.run(
             nowMs: Long,
             engines: List<TestEngine>,
-            reserves: Boolean = false,
+            groups: Int = 1,
         ): Pair<List<QueueDecision.Start>, List<QueueDecision.Refuse>> {
             val starts = mutableListOf<QueueDecision.Start>()
             val refused =
-                dispatch(nowMs, engines, reserves) { start ->
+                dispatch(nowMs, engines, groups) { start ->
                     starts += start
                     val engine = engines.single { it.id == start.engine }
                     engine.pendingTokens += engine.unreadTokens(start.call.parts, true)
@@ -202,31 +205,31 @@
         test("short greetings and long guides wait for engines of their own") {
             val all = engines(8)
             val queue = CallQueue()
-            repeat(100) { queue.add(guide("subject-$it")) }
-            val guides = queue.run(0, all, reserves = true).first.mapTo(HashSet()) { it.engine }
-            queue.add(guide("hello", priority = 0, isInteractive = true))
+            repeat(100) { queue.add(guide("subject-$it", group = guides)) }
+            val used = queue.run(0, all, groups = 2).first.mapTo(HashSet()) { it.engine }
+            queue.add(guide("hello", priority = 0, group = greetings))
             val greeting =
                 queue
-                    .run(0, all, reserves = true)
+                    .run(0, all, groups = 2)
                     .first
                     .single()
                     .engine
-            guides.size shouldBe 7
-            (greeting in guides) shouldBe false
+            used.size shouldBe 7
+            (greeting in used) shouldBe false
         }
 
         test("a burst of greetings beyond what the reserved engine reads in time goes on to one further engine") {
             val all = engines(8)
             val queue = CallQueue()
-            repeat(2) { queue.add(guide("hello", priority = 0, isInteractive = true)) }
+            repeat(2) { queue.add(guide("hello", priority = 0, group = greetings)) }
             val reserved = rankedFirst(all)
-            val starts = queue.run(0, all, reserves = true).first.map { it.engine }
+            val starts = queue.run(0, all, groups = 2).first.map { it.engine }
             starts.first() shouldBe reserved
             starts.toSet().size shouldBe 2
             all.forEach { it.pendingTokens = 0 }
-            queue.add(guide("hello", priority = 0, isInteractive = true))
+            queue.add(guide("hello", priority = 0, group = greetings))
             queue
-                .run(10, all, reserves = true)
+                .run(10, all, groups = 2)
                 .first
                 .single()
                 .engine shouldBe reserved
--- a/core/src/test/kotlin/io/teaselspring/core/placement/PlacementTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/placement/PlacementTest.kt
@@ -25,10 +25,9 @@
         fun place(
             candidates: List<PlacementCandidate>,
             part: String?,
-            isInteractive: Boolean = false,
-            reserves: Boolean = true,
+            group: CallGroup = CallGroup(1, 2),
             tried: Set<InstanceId> = emptySet(),
-        ) = placeCall(candidates, PlacementRequest(part, isInteractive, home), reserves, tried, { 0 })?.id
+        ) = placeCall(candidates, PlacementRequest(part, group, home), tried, { 0 })?.id
 
         val engines = (1..8).map { engine(it) }
         val parts = (1..169).map { "part-$it" }
@@ -44,7 +43,7 @@
         }
 
         test("an engine that leaves moves only the parts that it had, while the reserved engines stay the same") {
-            val reserved = parts.mapTo(HashSet()) { place(engines, it, isInteractive = true) }
+            val reserved = parts.mapTo(HashSet()) { place(engines, it, group = CallGroup(0, 2)) }
             val leaving = engines.first { it.id !in reserved }
             // Seven engines still reserve one.
             val rest = engines - leaving
@@ -53,16 +52,35 @@
 
         test("long prompts and short greetings do not share an engine while both groups have sound ones") {
             val guides = parts.mapTo(HashSet()) { place(engines, it) }
-            val greetings = parts.mapTo(HashSet()) { place(engines, it, isInteractive = true) }
+            val greetings = parts.mapTo(HashSet()) { place(engines, it, group = CallGroup(0, 2)) }
             guides.intersect(greetings) shouldBe emptySet()
             greetings.size shouldBe 1
         }
 
+        test("three sorts of streams get engines of their own, the more the longer their pauses") {
+            val groups =
+                (0..2).map { index ->
+                    parts.mapTo(HashSet()) { place(engines, it, group = CallGroup(index, 3)) }
+                }
+            groups.map { it.size } shouldBe listOf(1, 2, 5)
+            groups.flatten().toSet().size shouldBe 8
+        }
+
+        test("the group follows from the route's pause, and an upstream with one sort of streams has one group") {
+            val pauses = listOf(800L, 300L, 200L, 300L)
+            groupOf(200, pauses) shouldBe CallGroup(0, 3)
+            groupOf(300, pauses) shouldBe CallGroup(1, 3)
+            groupOf(800, pauses) shouldBe CallGroup(2, 3)
+            groupOf(null, pauses) shouldBe CallGroup(2, 3)
+            groupOf(300, listOf(300L, 300L)) shouldBe CallGroup.ONLY
+            groupOf(null, emptyList()) shouldBe CallGroup.ONLY
+        }
+
         test("a group without a sound engine uses the others") {
-            val reserved = parts.mapTo(HashSet()) { place(engines, it, isInteractive = true) }
+            val reserved = parts.mapTo(HashSet()) { place(engines, it, group = CallGroup(0, 2)) }
             val broken = engines.map { if (it.id in reserved) it.copy(isAvoided = true) else it }
-            place(broken, "part-1", isInteractive = true) shouldNotBe null
-            (place(broken, "part-1", isInteractive = true) in reserved) shouldBe false
+            place(broken, "part-1", group = CallGroup(0, 2)) shouldNotBe null
+            (place(broken, "part-1", group = CallGroup(0, 2)) in reserved) shouldBe false
         }
 
         test("a part leaves its engine when that has clearly more work than the others, and then goes to one place") {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallRun.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallRun.kt
@@ -12,9 +12,11 @@
 import io.netty.util.concurrent.ScheduledFuture
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.UpstreamName
+import io.teaselspring.core.placement.CallGroup
 import io.teaselspring.core.placement.PlacementRequest
 import io.teaselspring.core.placement.PromptPart
 import io.teaselspring.core.placement.QueuedCall
+import io.teaselspring.core.placement.groupOf
 import io.teaselspring.core.placement.placeCall
 import io.teaselspring.core.routing.CallConfig
 import io.teaselspring.core.routing.CallDecision
@@ -101,7 +103,13 @@
             refuse("route without upstream")
             return
         }
-        call = AuthorisedCall(config.version, decision, upstream, config.placementOf(upstream, decision))
+        call =
+            AuthorisedCall(
+                config.version,
+                decision,
+                upstream,
+                groupOf(decision.route.maxPauseMs, config.pausesOf(upstream)),
+            )
         val budgetMs = request.headers[names.timeBudgetMs]?.toLongOrNull() ?: Long.MAX_VALUE
         val limitMs = minOf(decision.route.timeoutMs, budgetMs)
         endsAtMs = arrivedMs + limitMs
@@ -117,13 +125,13 @@
             QueuedCall(
                 id,
                 prompt,
-                call.isInteractive,
+                call.group,
                 call.priority,
                 arrivedMs,
                 lateAfterMs = arrivedMs + target * LATE_PCT / PERCENT,
                 refuseAfterMs = minOf(arrivedMs + target * REFUSE_PCT / PERCENT, endsAtMs),
             )
-        gateway.queues.add(call.upstream, queued, call.reserves, this)
+        gateway.queues.add(call.upstream, queued, this)
     }
 
     override fun startAt(
@@ -148,8 +156,7 @@
         val chosen =
             placeCall(
                 all.map { it.candidate(now, silenceMs) },
-                PlacementRequest(shared, call.isInteractive, gateway.settings.dataCentre),
-                reserves = call.reserves,
+                PlacementRequest(shared, call.group, gateway.settings.dataCentre),
                 tried,
                 gateway.random,
             )
@@ -366,38 +373,11 @@
     val configVersion: Long,
     private val decision: CallDecision.Allowed,
     val upstream: UpstreamName,
-    val placement: PlacementGroup,
+    val group: CallGroup,
 ) {
     val route get() = decision.route
     val organisation get() = decision.organisation?.id
     val priority get() = decision.priority
-    val isInteractive get() = placement == PlacementGroup.INTERACTIVE
-    val reserves get() = placement != PlacementGroup.ALONE
-}
-
-/** Which instances of its upstream a call may go to. */
-internal enum class PlacementGroup {
-    /** The upstream has one sort of calls. */
-    ALONE,
-
-    /** Streams with the shortest pauses of the upstream. */
-    INTERACTIVE,
-
-    /** All other streams beside interactive ones. */
-    OTHER,
-}
-
-private fun CallConfig.placementOf(
-    upstream: UpstreamName,
-    decision: CallDecision.Allowed,
-): PlacementGroup {
-    val pauses = pausesOf(upstream)
-    val shortest = pauses.minOrNull()
-    return when {
-        shortest == null || pauses.all { it == shortest } -> PlacementGroup.ALONE
-        decision.route.maxPauseMs == shortest -> PlacementGroup.INTERACTIVE
-        else -> PlacementGroup.OTHER
-    }
 }
 
 private fun parsePromptParts(header: String?): List<PromptPart> =
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
@@ -37,15 +37,14 @@
     /** A new id for a waiting call. */
     fun nextId(): Long = ++lastId
 
-    /** Queues [call] for [upstream]; [reserves] tells whether it serves both interactive and other calls. */
+    /** Queues [call] for [upstream]. */
     fun add(
         upstream: UpstreamName,
         call: QueuedCall,
-        reserves: Boolean,
         waiting: WaitingCall,
     ) {
         val queue = queues.getOrPut(upstream) { UpstreamQueue(upstream) }
-        queue.reserves = reserves
+        queue.groups = call.group.count
         queue.calls[call.id] = waiting
         queue.decisions.add(call)
         queue.dispatch()
@@ -72,7 +71,7 @@
     ) {
         val decisions = CallQueue()
         val calls = HashMap<Long, WaitingCall>()
-        var reserves = false
+        var groups = 1
         private var isScheduled = false
         private var isDispatching = false
 
@@ -83,7 +82,7 @@
             val now = nowMs()
             val views = instances.of(upstream).associate { it.registered.id to StateView(it, now) }
             val refused =
-                decisions.dispatch(now, views.values.toList(), reserves) { start ->
+                decisions.dispatch(now, views.values.toList(), groups) { start ->
                     val view = views.getValue(start.engine)
                     val unread = view.noteRead(start.call.parts)
                     calls.remove(start.call.id)?.startAt(view.state, unread)
