--- /dev/null
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/TableFollowerTest.kt
@@ -0,0 +1,130 @@
+/*
+ * Guards the followers of the store's tables against a lost history, an outage, a silent connection, and answers that
+ * overtake each other.
+ */
+package io.teaselspring.daemon.gateway
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import io.teaselspring.core.lease.ClockReading
+import io.teaselspring.ports.PlatformError
+import io.teaselspring.ports.TableChanges
+import io.teaselspring.ports.TableContent
+import io.teaselspring.ports.WatchedTable
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Answers the calls for changes from [script], then waits for ever; a whole read returns [content]. */
+private class ScriptedTable(
+    private val script: MutableList<Either<PlatformError, TableChanges<String>>>,
+    var content: Either<PlatformError, TableContent<String>>,
+) : WatchedTable<String> {
+    val calls = mutableListOf<String>()
+
+    override suspend fun read(): Either<PlatformError, TableContent<String>> {
+        calls += "read"
+        return content
+    }
+
+    override suspend fun changes(
+        after: Long,
+        wait: Duration,
+    ): Either<PlatformError, TableChanges<String>> {
+        calls += "changes after $after"
+        return if (script.isEmpty()) awaitCancellation() else script.removeFirst()
+    }
+}
+
+private class Heard : TableListener<String> {
+    val lines = mutableListOf<String>()
+
+    override fun content(
+        content: Map<String, String?>,
+        askedAt: ClockReading,
+        afterOutage: Boolean,
+    ) {
+        lines += "all $content" + if (afterOutage) " after an outage" else ""
+    }
+
+    override fun changes(
+        changes: Map<String, String?>,
+        askedAt: ClockReading,
+    ) {
+        lines += "changed $changes"
+    }
+}
+
+private val away = PlatformError.Unavailable("rows-feed", "store", "away").left()
+
+private fun changed(
+    version: Long,
+    vararg rows: Pair<String, String?>,
+) = TableChanges.Changed(mapOf(*rows), version).right()
+
+class TableFollowerTest :
+    FunSpec({
+        suspend fun TestScope.follow(
+            table: ScriptedTable,
+            interval: Duration = Duration.ZERO,
+        ): Heard {
+            val heard = Heard()
+            val times = FollowTimes(wait = 2_000.milliseconds, interval)
+            val follower = TableFollower("t", table, times, { ClockReading(currentTime, currentTime) }, heard)
+            val running = backgroundScope.launch { follower.run() }
+            testScheduler.advanceTimeBy(10_000)
+            running.cancel()
+            return heard
+        }
+
+        test("after the whole table its changes follow, each from the version of the last answer") {
+            runTest {
+                val table =
+                    ScriptedTable(
+                        mutableListOf(changed(7, "a" to "2"), changed(9, "b" to null)),
+                        whole(
+                            5,
+                            "a" to "1",
+                        ),
+                    )
+                follow(table).lines shouldContainExactly listOf("all {a=1}", "changed {a=2}", "changed {b=null}")
+                table.calls shouldContainExactly listOf("read", "changes after 5", "changes after 7", "changes after 9")
+            }
+        }
+
+        test("a lost history leads to a whole read that is not taken for an outage") {
+            runTest {
+                val table = ScriptedTable(mutableListOf(TableChanges.HistoryLost.right()), whole(5, "a" to "1"))
+                follow(table).lines shouldContainExactly listOf("all {a=1}", "all {a=1}")
+            }
+        }
+
+        test("after an error the table is read as a whole, marked as after an outage") {
+            runTest {
+                val table = ScriptedTable(mutableListOf(away, changed(6)), whole(5, "a" to "1"))
+                follow(table).lines shouldContainExactly listOf("all {a=1}", "all {a=1} after an outage", "changed {}")
+            }
+        }
+
+        test("a table that always has changes is asked no more often than the interval says") {
+            runTest {
+                val many = (6L..40L).mapTo(mutableListOf<Either<PlatformError, TableChanges<String>>>()) { changed(it) }
+                val table = ScriptedTable(many, whole(5))
+                follow(table, interval = 1_000.milliseconds)
+                table.calls.size shouldBe 10
+            }
+        }
+    })
+
+private fun whole(
+    version: Long,
+    vararg rows: Pair<String, String?>,
+) = TableContent(mapOf(*rows), version).right()
