Ask a store that is away less often

Change: a follower's retries grow to 600 to 1,200 ms, no read is made for waiting calls while the table is known to be away, and the lease asks once a second after an error. Ruled out: a longer wait at the first error, because a single lost answer should cost little.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
@@ -82,6 +82,7 @@
             durationMs = 4_000,
             renewMs = 1_300,
             pollMs = 3_000,
+            retryMs = 1_000,
             safetyMs = 800,
             marginMs = 300,
             orderDeadlineMs = 800,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/TableFollower.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/TableFollower.kt
@@ -23,12 +23,14 @@
 
 /**
  * When to ask. A call for changes waits up to [wait] for one; the next call follows at least [interval] after the last,
- * so that a busy table costs a bounded number of calls. After an error a call is repeated after [retry] to twice that.
+ * so that a busy table costs a bounded number of calls. After an error a call is repeated after [retry] to twice that,
+ * and after further errors at growing intervals up to [longestRetry] to twice that.
  */
 internal data class FollowTimes(
     val wait: Duration,
     val interval: Duration,
     val retry: Duration = 150.milliseconds,
+    val longestRetry: Duration = 600.milliseconds,
 )
 
 /** Hears of a followed table; [askedAt] is the moment before the question. */
@@ -58,6 +60,7 @@
 ) {
     private var version: Long? = null
     private var failedSinceMs: Long? = null
+    private var failures = 0
     private var isReadingNow = false
 
     /** Follows the table until cancelled. */
@@ -67,16 +70,25 @@
             val error = step()
             if (error != null) {
                 failed(error)
-                delay(times.retry * (1 + random.nextDouble()))
+                delay(retryDelay())
             } else {
                 delay(times.interval - (clock().monotonicMs - startedMs).milliseconds)
             }
         }
     }
 
-    /** Reads the table at once beside the running call, unless such a read is under way. */
+    /** A store that is away is asked less and less often, by entries that do not ask in step. */
+    private fun retryDelay(): Duration {
+        val grown = times.retry * (1 shl minOf(failures - 1, MAX_DOUBLINGS))
+        return minOf(grown, times.longestRetry) * (1 + random.nextDouble())
+    }
+
+    /**
+     * Reads the table at once beside the running call, unless such a read is under way. While the table is known to be
+     * away nothing is read, because the calls that wait for it would multiply the calls to the store.
+     */
     fun readNow(scope: CoroutineScope) {
-        if (isReadingNow) return
+        if (isReadingNow || failures > 0) return
         isReadingNow = true
         scope.launch {
             try {
@@ -140,6 +152,7 @@
     }
 
     private fun failed(error: PlatformError) {
+        failures += 1
         if (failedSinceMs == null) {
             failedSinceMs = clock().monotonicMs
             log.warn("event=dependency_lost dependency=store table={} {}", name, error.describe())
@@ -149,9 +162,14 @@
     }
 
     private fun back() {
+        failures = 0
         val since = failedSinceMs ?: return
         failedSinceMs = null
         val awayMs = clock().monotonicMs - since
         log.info("event=dependency_back dependency=store table={} away_ms={}", name, awayMs)
     }
+
+    private companion object {
+        const val MAX_DOUBLINGS = 4
+    }
 }
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/TableFollowerTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/TableFollowerTest.kt
@@ -9,6 +9,7 @@
 import arrow.core.right
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.teaselspring.core.lease.ClockReading
 import io.teaselspring.ports.PlatformError
@@ -114,6 +115,23 @@
             }
         }
 
+        test("a table that stays away is asked less and less often, also when calls wait for it") {
+            runTest {
+                val table = ScriptedTable(MutableList(200) { away }, away)
+                val heard = Heard()
+                val times = FollowTimes(wait = 2_000.milliseconds, Duration.ZERO)
+                val follower = TableFollower("t", table, times, { ClockReading(currentTime, currentTime) }, heard)
+                val running = backgroundScope.launch { follower.run() }
+                repeat(100) {
+                    testScheduler.advanceTimeBy(100)
+                    follower.readNow(backgroundScope)
+                }
+                running.cancel()
+                // At most one call in 600 ms from the third on.
+                table.calls.size shouldBeLessThan 20
+            }
+        }
+
         test("a table that always has changes is asked no more often than the interval says") {
             runTest {
                 val many = (6L..40L).mapTo(mutableListOf<Either<PlatformError, TableChanges<String>>>()) { changed(it) }
