--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallRun.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallRun.kt
@@ -11,10 +11,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.util.concurrent.ScheduledFuture
 import io.teaselspring.core.InstanceId
-import io.teaselspring.core.UpstreamName
-import io.teaselspring.core.placement.CallGroup
 import io.teaselspring.core.placement.PlacementRequest
-import io.teaselspring.core.placement.PromptPart
 import io.teaselspring.core.placement.QueuedCall
 import io.teaselspring.core.placement.groupOf
 import io.teaselspring.core.placement.placeCall
@@ -367,23 +364,3 @@
         const val PERCENT = 100
     }
 }
-
-/** A call that the configuration [configVersion] allows. */
-internal class AuthorisedCall(
-    val configVersion: Long,
-    private val decision: CallDecision.Allowed,
-    val upstream: UpstreamName,
-    val group: CallGroup,
-) {
-    val route get() = decision.route
-    val organisation get() = decision.organisation?.id
-    val priority get() = decision.priority
-}
-
-private fun parsePromptParts(header: String?): List<PromptPart> =
-    header
-        ?.split(',')
-        ?.mapNotNull { part ->
-            val tokens = part.substringAfter(':', "").trim().toLongOrNull()
-            tokens?.let { PromptPart(part.substringBefore(':').trim(), it) }
-        }.orEmpty()
