Wait before a lease is written again after a refused write

A process that may take a free lease wrote again at once when the write was certainly not applied; only renewals waited for the retry interval.

Change: a write of any kind waits for the interval after such a failure. LeaseTest has the case.

--- a/core/src/main/kotlin/io/teaselspring/core/lease/Lease.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/lease/Lease.kt
@@ -92,6 +92,7 @@
     private var pending: PendingWrite? = null
     private var inFlight = false
     private var nextReadMs = Long.MIN_VALUE
+    private var nextWriteMs = Long.MIN_VALUE
     private var resignedAtMs: Long? = null
 
     /** Epoch of the last row seen, 0 if none. */
@@ -157,6 +158,7 @@
         pending = null
         held = held?.copy(renewAtMs = now.monotonicMs + times.retryMs)
         nextReadMs = now.monotonicMs + times.retryMs
+        nextWriteMs = nextReadMs
     }
 
     private fun read(
@@ -229,11 +231,12 @@
     private fun next(now: ClockReading): LeaseAction? {
         val last = seen
         val renewAtMs = held?.renewAtMs
+        val mayWrite = pending == null && now.monotonicMs >= nextWriteMs
         return when {
             resignedAtMs != null -> giveUp(now)
-            renewAtMs != null && last != null && now.monotonicMs >= renewAtMs && pending == null ->
+            mayWrite && renewAtMs != null && last != null && now.monotonicMs >= renewAtMs ->
                 write(LeaseRow(own, lastEpoch, nextWriteId()), last.rowVersion, now)
-            held == null && last != null && pending == null && mayTake(last, now) ->
+            mayWrite && held == null && last != null && mayTake(last, now) ->
                 write(LeaseRow(own, lastEpoch + 1, nextWriteId()), last.rowVersion, now)
             (held == null || pending != null) && now.monotonicMs >= nextReadMs -> read()
             else -> null
@@ -254,7 +257,7 @@
         val last = seen ?: return null
         val row = last.row
         val sinceMs = now.monotonicMs - checkNotNull(resignedAtMs)
-        val isDue = sinceMs >= times.orderDeadlineMs && pending == null
+        val isDue = sinceMs >= times.orderDeadlineMs && pending == null && now.monotonicMs >= nextWriteMs
         return if (isDue && row?.holder == own) {
             write(LeaseRow(null, row.epoch, nextWriteId()), last.rowVersion, now)
         } else {
--- a/core/src/test/kotlin/io/teaselspring/core/lease/LeaseTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/lease/LeaseTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeInRange
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
 import io.teaselspring.core.Incarnation
@@ -168,4 +169,30 @@
             lease.step(LeaseEvent.Tick, at(1_019)) shouldBe emptyList()
             lease.step(LeaseEvent.Tick, at(1_020)) shouldBe listOf(LeaseAction.Write(LeaseRow(null, 1, "w"), 1))
         }
+
+        test("a free lease that cannot be written is tried again only after the retry interval") {
+            val times = LeaseTimes()
+            val lease = Lease(Incarnation("p"), times) { "w" }
+            var nowMs = 0L
+            var writes = 0
+
+            fun step(event: LeaseEvent) {
+                var actions = lease.step(event, ClockReading(nowMs, nowMs))
+                // A shell carries an action out and passes on its result at once.
+                repeat(100) {
+                    val result =
+                        when (actions.lastOrNull { it is LeaseAction.Read || it is LeaseAction.Write }) {
+                            is LeaseAction.Read -> LeaseEvent.Read(null, 0)
+                            is LeaseAction.Write -> LeaseEvent.WriteFailed.also { writes += 1 }
+                            else -> return
+                        }
+                    actions = lease.step(result, ClockReading(nowMs, nowMs))
+                }
+            }
+            while (nowMs < 10_000) {
+                step(LeaseEvent.Tick)
+                nowMs += 250
+            }
+            writes shouldBeInRange 1..(10_000 / times.retryMs).toInt()
+        }
     })
