--- a/core/src/main/kotlin/io/teaselspring/core/Identifiers.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/Identifiers.kt
@@ -33,7 +33,7 @@
     override fun toString(): String = value
 }
 
-/** Name of an organisation (tenant). */
+/** Name of an organisation. */
 @Serializable
 @JvmInline
 public value class OrganisationId(
--- a/core/src/main/kotlin/io/teaselspring/core/config/ConfigDocument.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/config/ConfigDocument.kt
@@ -97,7 +97,7 @@
 )
 
 /**
- * An organisation (tenant). [weight] is its share relative to the others of its class. The limits hold across all
+ * An organisation. [weight] is its share relative to the others of its class. The limits hold across all
  * entries; null means no limit.
  */
 @Serializable
