Refuse late calls of a planned stop that would outlive the process

Cause: an entry that stops took every call that still arrived. Callers that the balancer or an open connection brought more than 3 s after SIGTERM had their streams cut at the limit of the stop. Change: 2.5 s after the stop began a call is taken only if its time limit ends before the stop does; others are refused as not run with a time to come back. PlannedStopTest failed (the late call was run, 200) and passes now.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallRun.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallRun.kt
@@ -110,6 +110,10 @@
         val budgetMs = request.headers[names.timeBudgetMs]?.toLongOrNull() ?: Long.MAX_VALUE
         val limitMs = minOf(decision.route.timeoutMs, budgetMs)
         endsAtMs = arrivedMs + limitMs
+        if (gateway.stop?.takes(gateway.nowMs(), endsAtMs) == false) {
+            refuse("stopping")
+            return
+        }
         timer = gateway.loop.schedule({ timedOut() }, limitMs, TimeUnit.MILLISECONDS)
         if (prompt.isEmpty()) next() else enqueue()
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
@@ -42,8 +42,10 @@
     val queues = StreamQueues(loop, nowMs, instances)
     private val budgets = HashMap<UpstreamName, RetryBudget>()
 
-    /** Set by the first planned stop; answers then end their connections. */
-    var isDraining = false
+    /** The planned stop, once it has begun; answers then end their connections. */
+    var stop: PlannedStop? = null
+
+    val isDraining: Boolean get() = stop != null
 
     /** Whether callers should be sent here. */
     val isReady: Boolean
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -182,23 +182,20 @@
     /** Stops taking part, and returns when no call is under way or the limit of the stop is near. */
     suspend fun drain() {
         log.info("event=drain_started running={}", callers.running)
-        gateway.isDraining = true
         val startedMs = runtime.nowMs()
+        val stop = PlannedStop(startedMs, times.stopLimit)
+        gateway.stop = stop
         val resigned = scope.launch { usageLease.resign() }
-        while (runtime.nowMs() - startedMs < LEAST_DRAIN.inWholeMilliseconds || callers.running > 0) {
-            if (runtime.nowMs() - startedMs > times.stopLimit.inWholeMilliseconds) break
-            delay(DRAIN_STEP)
-        }
+        while (!stop.isOver(runtime.nowMs(), callers.running)) delay(DRAIN_STEP)
         callers.stopListening()
-        if (platform.usage != null) finishUsage(startedMs)
+        if (platform.usage != null) finishUsage(stop)
         resigned.cancel()
         log.info("event=drain_ended running={} after_ms={}", callers.running, runtime.nowMs() - startedMs)
     }
 
     /** Without the store, the last counts are kept for as long as the stop may take: they are lost with the process. */
-    private suspend fun finishUsage(drainStartedMs: Long) {
-        val left = times.stopLimit - (runtime.nowMs() - drainStartedMs).milliseconds
-        withTimeoutOrNull(maxOf(left, LAST_FLUSH)) {
+    private suspend fun finishUsage(stop: PlannedStop) {
+        withTimeoutOrNull(maxOf(stop.left(runtime.nowMs()), LAST_FLUSH)) {
             while (!usage.finish()) delay(FLUSH_RETRY)
         } ?: log.warn("event=usage_lost reason=\"the store is away\"")
     }
@@ -241,9 +238,6 @@
     private companion object {
         val HOUSEKEEPING = 500.milliseconds
         val REGISTRY_WAIT = 2.seconds
-
-        /** The balancer asks for readiness once a second and takes an instance out after two misses. */
-        val LEAST_DRAIN = 2_500.milliseconds
         val DRAIN_STEP = 50.milliseconds
         val LAST_FLUSH = 500.milliseconds
         val FLUSH_RETRY = 250.milliseconds
--- /dev/null
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/PlannedStop.kt
@@ -0,0 +1,37 @@
+/*
+ * What an entry still takes while it stops.
+ */
+package io.teaselspring.daemon.gateway
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** A planned stop that began at [startedAtMs] and leaves calls until [endsAtMs]; both are monotonic. */
+internal class PlannedStop(
+    private val startedAtMs: Long,
+    limit: Duration,
+) {
+    private val endsAtMs = startedAtMs + limit.inWholeMilliseconds
+
+    /**
+     * Whether a call that ends at [callEndsAtMs] at the latest may still begin. Until [HANDOVER] is over, callers
+     * cannot know of the stop and all are taken; later ones must not outlive the process.
+     */
+    fun takes(
+        nowMs: Long,
+        callEndsAtMs: Long,
+    ): Boolean = nowMs < startedAtMs + HANDOVER.inWholeMilliseconds || callEndsAtMs <= endsAtMs
+
+    fun isOver(
+        nowMs: Long,
+        runningCalls: Int,
+    ): Boolean = nowMs > endsAtMs || (runningCalls == 0 && nowMs >= startedAtMs + HANDOVER.inWholeMilliseconds)
+
+    /** Time left at [nowMs]; negative after the end. */
+    fun left(nowMs: Long): Duration = (endsAtMs - nowMs).milliseconds
+
+    companion object {
+        /** The balancer asks for readiness once a second and takes an instance out after two misses. */
+        val HANDOVER = 2_500.milliseconds
+    }
+}
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
@@ -86,6 +86,7 @@
     private val upstreams: List<ScriptedUpstream>,
     private val timeoutMs: Long = 5_000,
     settings: GatewaySettings = testSettings(),
+    stopLimit: Duration = 5.hours,
 ) : AutoCloseable {
     val config = FakeWatchedTable<CallConfig>()
     val instances = FakeWatchedTable<RegisteredInstance>()
@@ -104,7 +105,7 @@
                     settings,
                     GatewayAddresses(callers, ready, null, "/ready"),
                     GatewayPlatform(FakePlatform().platform.table, config, instances, null) { 0 },
-                    GatewayTimes(usageWindow = 1.hours, stopLimit = 5.hours),
+                    GatewayTimes(usageWindow = 1.hours, stopLimit),
                     scope,
                 )
             }
@@ -218,9 +219,10 @@
     vararg upstreams: ScriptedUpstream,
     timeoutMs: Long = 5_000,
     settings: GatewaySettings = GatewaySite.testSettings(),
+    stopLimit: Duration = 5.hours,
     block: suspend GatewaySite.() -> Unit,
 ) {
-    val site = GatewaySite(upstreams.toList(), timeoutMs, settings)
+    val site = GatewaySite(upstreams.toList(), timeoutMs, settings, stopLimit)
     try {
         withContext(Dispatchers.IO) {
             eventually { site.isReady() shouldBe true }
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/PlannedStopTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/PlannedStopTest.kt
@@ -9,7 +9,11 @@
 import io.teaselspring.daemon.eventually
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import java.net.Socket
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.seconds
 
 class PlannedStopTest :
     FunSpec({
@@ -38,12 +42,9 @@
                     val stop = async { drain() }
                     eventually { isReady() shouldBe false }
                     // A caller that the balancer sent here before is still answered, and told to go elsewhere.
-                    kept.use {
-                        it.getOutputStream().write(request(PLAIN))
-                        val answer = it.getInputStream().readAllBytes().decodeToString()
-                        answer shouldContain "late"
-                        answer.lowercase() shouldContain "connection: close"
-                    }
+                    val answer = kept.answerTo(request(PLAIN))
+                    answer shouldContain "late"
+                    answer.lowercase() shouldContain "connection: close"
                     stop.isActive shouldBe true
                     goOn.countDown()
                     val whole = stream.await()
@@ -53,4 +54,49 @@
                 }
             }
         }
+
+        test("a call that comes late in a stop is taken only if it ends before the process does") {
+            val goOn = CountDownLatch(1)
+            val began = CountDownLatch(1)
+            val plainCalls = AtomicInteger()
+            val engine =
+                ScriptedUpstream { request, output ->
+                    if (request.line.contains(STREAM)) {
+                        output.streamHead(request)
+                        began.countDown()
+                        goOn.await()
+                        output.lastChunk()
+                    } else {
+                        plainCalls.incrementAndGet()
+                        output.answer(request, "whole")
+                    }
+                    After.KEEP
+                }
+            withGateway(engine, stopLimit = 8.seconds) {
+                coroutineScope {
+                    val stream = async { call(STREAM) }
+                    began.await()
+                    val stop = async { drain() }
+                    eventually { isReady() shouldBe false }
+                    connect().answerTo(request(PLAIN)) shouldContain "whole"
+                    delay(PlannedStop.HANDOVER + 1.seconds)
+                    // Its timeout of 5 s ends after the limit of the stop.
+                    val refused = connect().answerTo(request(PLAIN))
+                    refused shouldContain "HTTP/1.1 503"
+                    refused shouldContain "Retry-After"
+                    refused shouldContain "not run"
+                    plainCalls.get() shouldBe 1
+                    connect().answerTo(request(PLAIN, headers = "X-Time-Budget-Ms: 500\r\n")) shouldContain "whole"
+                    goOn.countDown()
+                    stream.await()
+                    stop.await()
+                }
+            }
+        }
     })
+
+private fun Socket.answerTo(request: ByteArray) =
+    use {
+        it.getOutputStream().write(request)
+        it.getInputStream().readAllBytes().decodeToString()
+    }
