Judge a silent entry by what others have stored

Change: the rows of the other entries show it. An entry is not waited for when another one has stored a window's length after it and as long again it still has not. DirectUsageTest has the case and its opposite, an outage for all.

--- a/core/src/main/kotlin/io/teaselspring/core/usage/UsageRows.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/usage/UsageRows.kt
@@ -72,7 +72,7 @@
     val counts: List<UsageCount> = emptyList(),
     @SerialName("final") val isFinal: Boolean = false,
     @SerialName("leaving") val isLeaving: Boolean = false,
-    @SerialName("stored_at_ms") val storedAtMs: Long = 0,
+    @SerialName("stored_at_ms") val storedAtMs: Long? = null,
 )
 
 /** The figures of a closed window, fixed before they are reported, under the lease's [epoch]. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/DirectUsage.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/DirectUsage.kt
@@ -62,10 +62,6 @@
     private val windows = TreeMap<UsageWindow, WindowCounts>()
     private var isLeaving = false
 
-    /** Unix time since when all writes have succeeded; null after one that has not. */
-    var storingSinceMs: Long? = null
-        private set
-
     /** A call of [organisation] has begun to run. */
     fun began(organisation: OrganisationId) {
         val counts = windows.getOrPut(windowNow()) { WindowCounts() }
@@ -109,12 +105,7 @@
     ) {
         counts.isStored = true
         counts.isFinal = isFinal
-        val error = write(window, counts).leftOrNull()
-        if (error == null) {
-            if (storingSinceMs == null) storingSinceMs = clock.now().toEpochMilliseconds()
-            return
-        }
-        storingSinceMs = null
+        val error = write(window, counts).leftOrNull() ?: return
         counts.isStored = false
         log.warn("event=usage_not_stored window={} {}", window.id, error.describe())
         if (error !is PlatformError.Unavailable) resolve(window, counts)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -121,7 +121,6 @@
                     sharedClock,
                     times.usageWindow.inWholeMilliseconds,
                     times.usagePatience,
-                    usage::storingSinceMs,
                     entryCount::counted,
                 )::isSettled,
             )
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UsageSettling.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UsageSettling.kt
@@ -16,23 +16,19 @@
 import org.slf4j.LoggerFactory
 import kotlin.time.Clock
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
 private val log = LoggerFactory.getLogger("io.teaselspring.daemon.usage")
 
 /**
- * Waits for the entries' counts for at most [patience] after the end of a window of [lengthMs], and not for an entry
- * that has stored nothing for [goneAfter] while this one could: it was killed for good. [storingSinceMs] is the Unix
- * time since when this entry could store, null if it cannot. [counted] is told how many entries had a row in a window.
+ * Waits for the entries' counts for at most [patience] after the end of a window of [lengthMs]. [counted] is told how
+ * many entries had a row in a window.
  */
 internal class UsageSettling(
     private val table: UsageTable,
     private val clock: Clock,
     private val lengthMs: Long,
     private val patience: Duration,
-    private val storingSinceMs: () -> Long?,
     private val counted: suspend (entries: Int) -> Unit,
-    private val goneAfter: Duration = 10.seconds,
 ) {
     private var members: Pair<UsageWindow, Map<Incarnation, EntryUsageRow>>? = null
 
@@ -55,16 +51,21 @@
         entry: Incarnation,
         last: EntryUsageRow,
         rows: Map<Incarnation, EntryUsageRow>,
-    ) = rows[entry]?.isFinal == true || entry.isReplacedIn(rows.keys) || isGone(entry, last)
+    ) = rows[entry]?.isFinal == true || entry.isReplacedIn(rows.keys) || isGone(entry, last, rows.values)
 
+    /**
+     * Whether the entry was killed for good: another one has stored its counts a window's length after it, which shows
+     * that the store was there, and as long again it still has not.
+     */
     private fun isGone(
         entry: Incarnation,
         last: EntryUsageRow,
+        others: Collection<EntryUsageRow>,
     ): Boolean {
-        val storingSince = storingSinceMs() ?: return false
-        val silentMs = clock.now().toEpochMilliseconds() - maxOf(last.storedAtMs, storingSince)
-        val isGone = silentMs >= goneAfter.inWholeMilliseconds
-        if (isGone) log.info("event=usage_entry_gone entry={} silent_ms={}", entry, silentMs)
+        val lastMs = last.storedAtMs ?: return false
+        val nowMs = clock.now().toEpochMilliseconds()
+        val isGone = others.mapNotNull { it.storedAtMs }.any { it - lastMs >= lengthMs && nowMs - it >= lengthMs }
+        if (isGone) log.info("event=usage_entry_gone entry={} silent_ms={}", entry, nowMs - lastMs)
         return isGone
     }
 
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/DirectUsageTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/DirectUsageTest.kt
@@ -26,9 +26,6 @@
 private class Fleet {
     var nowMs = 0L
 
-    /** Since when the reporter can store. */
-    var storingSinceMs: Long? = null
-
     /** Entries that were counted in each window. */
     val counted = mutableListOf<Int>()
     val platform = FakePlatform()
@@ -42,7 +39,7 @@
 
     fun reporter(): UsageReporter {
         val settling =
-            UsageSettling(table, clock, LENGTH_MS, patience = 7.seconds, { storingSinceMs }, { counted += it })
+            UsageSettling(table, clock, LENGTH_MS, patience = 7.seconds, { counted += it })
         return UsageReporter(
             Incarnation("reporter"),
             table,
@@ -162,26 +159,39 @@
             fleet.reported().keys shouldBe setOf(0L, LENGTH_MS, 2 * LENGTH_MS)
         }
 
-        test("a window does not wait for an entry that has long been silent, unless the store was away") {
+        test("a window does not wait for an entry that is silent while another one stores") {
             val fleet = Fleet()
             val first = fleet.entry("a")
             val removed = fleet.entry("b")
             listOf(first, removed).forEach { it.began(2) }
             listOf(first, removed).forEach { it.flush() }
+            first.began(3)
             fleet.nowMs = LENGTH_MS + 300
             first.flush()
-            first.began(3)
+            val reporter = fleet.reporter()
+            fleet.nowMs = 2 * LENGTH_MS + 299
+            reporter.reportDue()
+            fleet.reported() shouldBe emptyMap()
             fleet.nowMs = 2 * LENGTH_MS + 300
+            reporter.reportDue()
+            fleet.reported() shouldBe mapOf(0L to 7L)
+        }
+
+        test("a window waits for all entries when the store is back after it was away for all") {
+            val fleet = Fleet()
+            val first = fleet.entry("a")
+            val second = fleet.entry("b")
+            listOf(first, second).forEach { it.began(2) }
+            listOf(first, second).forEach { it.flush() }
+            listOf(first, second).forEach { it.began(1) }
+            fleet.nowMs = LENGTH_MS + 6_000
             first.flush()
             val reporter = fleet.reporter()
-            fleet.storingSinceMs = 2 * LENGTH_MS
             reporter.reportDue()
             fleet.reported() shouldBe emptyMap()
-            fleet.storingSinceMs = 0
-            reporter.reportDue()
-            fleet.nowMs = 2 * LENGTH_MS + 700
+            second.flush()
             reporter.reportDue()
-            fleet.reported() shouldBe mapOf(0L to 4L, LENGTH_MS to 3L)
+            fleet.reported() shouldBe mapOf(0L to 6L)
         }
 
         test("a window does not wait for a killed process whose instance has a new one") {
