--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallRun.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallRun.kt
@@ -6,7 +6,6 @@
 package io.teaselspring.daemon.gateway
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.util.concurrent.ScheduledFuture
@@ -19,14 +18,9 @@
 import io.teaselspring.core.routing.CallDecision
 import io.teaselspring.core.routing.CallKind
 import io.teaselspring.core.routing.pickUpstream
-import kotlinx.serialization.json.buildJsonObject
-import kotlinx.serialization.json.put
-import org.slf4j.LoggerFactory
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
 
-private val log = LoggerFactory.getLogger("io.teaselspring.daemon.calls")
-
 /** Runs [request] and answers it through [reply]. */
 internal class CallRun(
     private val gateway: Gateway,
@@ -281,16 +275,10 @@
         retryAfter: String? = null,
     ) {
         val headers = DefaultHttpHeaders()
-        headers["Retry-After"] = retryAfter ?: retryAfterSeconds()
+        headers["Retry-After"] = retryAfter ?: retryAfterSeconds(gateway.random)
         answer(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, headers)
     }
 
-    /** Spread, so that refused callers do not come back together. */
-    private fun retryAfterSeconds(): String {
-        val ms = RETRY_AFTER_MS + gateway.random(RETRY_AFTER_MS)
-        return "%d.%03d".format(ms / MILLIS_PER_S, ms % MILLIS_PER_S)
-    }
-
     /** Ends the call with an answer of this entry; an answer that has begun is cut visibly instead. */
     private fun answer(
         status: HttpResponseStatus,
@@ -306,14 +294,7 @@
         finish(if (isRefusal) "refused" else "status_${status.code()}", reason)
         headers["Content-Type"] = "application/json"
         if (requestId.isNotEmpty()) headers[names.requestId] = requestId
-        val body =
-            buildJsonObject {
-                put("type", status.reasonPhrase().lowercase().replace(' ', '_'))
-                put("reason", reason)
-                put("request_id", requestId)
-                put("ran", if (tried.isEmpty() || isRefusal) "not run" else "outcome unknown")
-            }
-        reply.answer(status, headers, Unpooled.wrappedBuffer(body.toString().encodeToByteArray()))
+        reply.answer(status, headers, ownAnswerBody(status, reason, requestId, tried.isEmpty() || isRefusal))
     }
 
     private fun finish(
@@ -335,29 +316,12 @@
         outcome: String? = null,
     ) {
         val known = if (::call.isInitialized) call else null
-        log.info(
-            "event={} request={} outcome={} reason=\"{}\" route={} organisation={} priority={} upstream={}" +
-                " instances={} config={} config_age_ms={} after_ms={}",
-            event,
-            requestId,
-            outcome,
-            reason,
-            known?.route?.name,
-            known?.organisation,
-            known?.priority,
-            known?.upstream,
-            tried,
-            gateway.config.current?.version,
-            gateway.config.ageMs(),
-            gateway.nowMs() - arrivedMs,
-        )
+        gateway.logCall(event, requestId, known, CallLogDetails(reason, outcome, tried, gateway.nowMs() - arrivedMs))
     }
 
     private companion object {
         /** Most instances that one call is offered to when none of them has seen it. */
         const val MAX_OFFERS = 4
-        const val RETRY_AFTER_MS = 300
-        const val MILLIS_PER_S = 1000
 
         /** As [STREAM_SILENCE_MS], for calls that take milliseconds. */
         const val PLAIN_SILENCE_MS = 300L
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
@@ -37,6 +37,14 @@
             .classicUpperBounds(0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 8.0)
             .register(registry)
 
+    private val controlCalls =
+        Counter
+            .builder()
+            .name("teaselspring_control_calls_total")
+            .help("Calls to the platform's store and interfaces by kind and outcome")
+            .labelNames("call", "outcome")
+            .register(registry)
+
     fun call(
         route: String,
         outcome: String,
@@ -51,4 +59,9 @@
         route: String,
         after: Duration,
     ) = answerSeconds.labelValues(route).observe(after.toDouble(DurationUnit.SECONDS))
+
+    fun controlCall(
+        call: String,
+        outcome: String,
+    ) = controlCalls.labelValues(call, outcome).inc()
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.teaselspring.core.freshness.StoreClock
 import io.teaselspring.core.lease.ClockReading
 import io.teaselspring.core.lease.LeaseTimes
@@ -72,9 +73,10 @@
     internal val loop: EventLoop = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next() as EventLoop
     internal val nowMs: () -> Long = { System.nanoTime() / NANOS_PER_MS }
     internal val connections = HttpConnections(loop, nowMs)
+    internal val metrics = GatewayMetrics(PrometheusRegistry())
 
     /** HTTP calls on the event loop. */
-    val calls: HttpCalls = HttpCalls(connections)
+    val calls: HttpCalls = HttpCalls(connections, metrics::controlCall)
 
     /** Runs on the event loop, as all calls must. */
     val dispatcher: CoroutineDispatcher = loop.asCoroutineDispatcher()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -5,7 +5,6 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
-import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.lease.ClockReading
 import io.teaselspring.core.registry.RegisteredInstance
@@ -64,7 +63,7 @@
             runtime.nowMs,
             ConfigState(runtime.loop, runtime.clock),
             UpstreamInstances(runtime.connections, runtime.nowMs),
-            GatewayMetrics(PrometheusRegistry()),
+            runtime.metrics,
             usage::began,
             entryCount::value,
             Random.Default::nextInt,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HttpCalls.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HttpCalls.kt
@@ -34,9 +34,10 @@
     val mayHaveRun: Boolean,
 )
 
-/** Makes calls. All functions must be called on the event loop. */
+/** Makes calls and tells [ended] the path and the outcome of each. All functions must be called on the event loop. */
 class HttpCalls internal constructor(
     private val connections: HttpConnections,
+    private val ended: (call: String, outcome: String) -> Unit,
 ) {
     /** Calls [uri] at [address], "IP:port"; gives up and closes the connection after [limit] without an answer. */
     suspend fun call(
@@ -49,10 +50,16 @@
     ): Either<HttpCallFailure, HttpReply> {
         val request =
             OutgoingRequest(HttpMethod.valueOf(method), uri, headersOf(address, headers, body), bufferOf(body))
-        return withTimeoutOrNull(limit) { exchange(address, request) }
-            ?: HttpCallFailure("no answer within $limit", mayHaveRun = true).left()
+        val result =
+            withTimeoutOrNull(limit) { exchange(address, request) }
+                ?: HttpCallFailure("no answer within $limit", mayHaveRun = true).left()
+        ended(uri.substringBefore('?').substringAfterLast('/'), outcomeOf(result))
+        return result
     }
 
+    private fun outcomeOf(result: Either<HttpCallFailure, HttpReply>) =
+        result.fold({ if (it.mayHaveRun) "no_answer" else "not_sent" }, { "status_${it.status}" })
+
     private suspend fun exchange(
         address: String,
         request: OutgoingRequest,
