--- a/model/src/main/tla/Lease.tla
+++ b/model/src/main/tla/Lease.tla
@@ -4,7 +4,8 @@
 (* (docs/design.md, I6 and I7). Time is a global count of ticks, and no    *)
 (* clock is compared between processes: a holder counts its lease from     *)
 (* before it sent the write, and a successor counts from when it first saw *)
-(* the row. Its clock may be fast by up to MaxDrift over that time.        *)
+(* the row, or from the store's time in it (StoreTime). Its clock may be   *)
+(* fast by up to MaxDrift over that time.                                  *)
 (*                                                                         *)
 (* A pause needs no action of its own: a process may let any amount of     *)
 (* time pass between two of its steps. Only the step from the last lease   *)
@@ -27,6 +28,8 @@
   Deadline,         \* an order or report is delivered this soon after it is sent, or never
   Wait,             \* a successor waits this long beyond the lease
   MaxDrift,         \* how much the clocks of two processes differ over that time
+  StoreTime,        \* rows bear the store's time of their sending, and a successor counts from that
+  StoreLag,         \* fault: that time is this much too early, as after a suspension of the writer
   Figures,          \* figures that a process may compute for the usage window
   Resigns,          \* processes may stop as planned
   PauseBeforeSend,  \* a process may pause between its last check and the send
@@ -87,7 +90,8 @@
 \* A process that saw the row later than at the earliest moment takes it later, which is one of the steps here too.
 MayTake(p) ==
   \/ row.holder \in {None, p}
-  \/ now - row.at + fast[p] >= LeaseTicks + Wait
+  \/ ~StoreTime /\ now - row.at + fast[p] >= LeaseTicks + Wait
+  \/ StoreTime /\ now + StoreLag + fast[p] >= row.sentAt + LeaseTicks + Wait
 
 Take(p) ==
   /\ pending[p] = None /\ ~Believes(p) /\ proc[p].resigned = Never
--- a/model/src/test/kotlin/io/teaselspring/model/LeaseModelTest.kt
+++ b/model/src/test/kotlin/io/teaselspring/model/LeaseModelTest.kt
@@ -29,10 +29,12 @@
         val resigns = mapOf("Resigns" to "TRUE", "MaxDrift" to "0", "MaxTime" to "4")
         val pause = oneClock + ("PauseBeforeSend" to "TRUE")
         val checksEpoch = mapOf("ChecksEpoch" to "TRUE")
+        val storeTime = noRenewal + ("StoreTime" to "TRUE")
         val epochs = listOf("OneHolder", "NoOlderOrder", "NumberedOnce", "OneFigure")
 
         check("I6 no two holders send orders in the same period", noRenewal)
         check("I6 renewals keep it so", mapOf("MaxDrift" to "0"))
+        check("I6 a successor may count from the store's time in the row", storeTime)
         check("I7 no two holders report, and no window has two figures", reports)
         check("I6 a process that stops as planned gives the lease up without an overlap", resigns)
         check(
@@ -52,6 +54,11 @@
             oneClock + ("CountFromAnswer" to "TRUE"),
             "OneHolderEvenLate",
         )
+        check(
+            "refuted: the store's time in the row is from before a suspension of the holder",
+            storeTime + ("StoreLag" to "2"),
+            "OneHolderEvenLate",
+        )
         check("refuted: orders are not recorded first", oneClock + ("RecordFirst" to "FALSE"), "NumberedOnce")
         check("refuted: the window is not frozen first", reports + ("FreezeFirst" to "FALSE"), "OneFigure")
         check("left open: an order that a pause made late overlaps", pause, "OneHolderEvenLate")
