Refuse calls while a stop stores its last usage; play prompts in virtual time; smaller windows

Change: from the moment at which the last usage is stored, calls are refused as not run. Test: PlannedStopTest, with the store away during the stop; it failed (200, the call ran) and passes.

Experiment. ./experiment prompts-{calm,burst}-{carriage,association} plays CallQueue for five entries on the platform's engine: chunks of prompts between tokens, prefix cache in limited memory, priorities, preemption. The entry's memory of prompt parts moved to the core (EngineMemory).

Ruled out in the experiment: windows of 10,000 to 130,000 and 400,000 tokens, interactive windows of 10,000 and 40,000.

--- a/core/src/main/kotlin/io/teaselspring/core/placement/CallQueue.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/CallQueue.kt
@@ -66,13 +66,15 @@
 /**
  * The rules. An engine takes a call when it has nothing unread from this entry, or when no more than this entry's
  * share of [windowTokens] is unread with it, of [interactiveWindowTokens] for interactive calls. A call is sent away
- * from its home when it has waited [spillAfterMs] and another engine could read the whole prompt before the home has
- * read what is pending there, taking all entries to send alike. An engine with [mostWork] requests takes no more.
+ * from its home when it has waited [spillAfterMs] and another engine could read the whole prompt in less than
+ * [spillShare] of the time that the home needs, taking all entries to send alike. An engine with [mostWork] requests
+ * takes no more.
  */
 public data class QueuePolicy(
-    val windowTokens: Long = 200_000,
+    val windowTokens: Long = 50_000,
     val interactiveWindowTokens: Long = 20_000,
     val spillAfterMs: Long = 1_500,
+    val spillShare: Double = 0.3,
     val mostWork: Double = 60.0,
 )
 
@@ -133,7 +135,7 @@
         val atHome = home.unreadTokens(call.parts, isHome = true)
         if (home.hasRoom(atHome, windowOf(call))) return home
         if (nowMs - call.arrivedMs < policy.spillAfterMs) return null
-        val limit = home.pendingTokens * entries() + atHome
+        val limit = (home.pendingTokens * entries() + atHome) * policy.spillShare
         return engines
             .filter { it !== home }
             .map { it to it.unreadTokens(call.parts, isHome = false) }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallRun.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallRun.kt
@@ -160,7 +160,7 @@
             refuse(if (tried.isEmpty()) "no instance" else "no further instance")
             return
         }
-        offer(instance, instance.unreadTokens(prompt, unknownShare = 1.0))
+        offer(instance, instance.memory.unreadTokens(prompt, isHome = false))
     }
 
     private fun offer(
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -198,6 +198,7 @@
         gateway.stop = stop
         val resigned = scope.launch { usageLease.resign() }
         while (!stop.isOver(runtime.nowMs(), callers.running)) delay(DRAIN_STEP)
+        stop.close()
         callers.stopListening()
         if (platform.usage != null) finishUsage(stop)
         resigned.cancel()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/PlannedStop.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/PlannedStop.kt
@@ -12,6 +12,7 @@
     limit: Duration,
 ) {
     private val endsAtMs = startedAtMs + limit.inWholeMilliseconds
+    private var isClosed = false
 
     /**
      * Whether a call that ends at [callEndsAtMs] at the latest may still begin. Until [HANDOVER] is over, callers
@@ -20,7 +21,12 @@
     fun takes(
         nowMs: Long,
         callEndsAtMs: Long,
-    ): Boolean = nowMs < startedAtMs + HANDOVER.inWholeMilliseconds || callEndsAtMs <= endsAtMs
+    ): Boolean = !isClosed && (nowMs < startedAtMs + HANDOVER.inWholeMilliseconds || callEndsAtMs <= endsAtMs)
+
+    /** Takes no further call: the process ends as soon as it has stored its last usage. */
+    fun close() {
+        isClosed = true
+    }
 
     fun isOver(
         nowMs: Long,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
@@ -125,14 +125,10 @@
     override fun unreadTokens(
         parts: List<PromptPart>,
         isHome: Boolean,
-    ): Long = state.unreadTokens(parts, if (isHome) UNKNOWN_AT_HOME else 1.0)
+    ): Long = state.memory.unreadTokens(parts, isHome)
 
-    fun noteRead(parts: List<PromptPart>): Long = unreadTokens(parts, isHome = true).also { state.noteRead(parts) }
-
-    private companion object {
-        /** Share of a shared part that an engine has to read, if only other entries can have sent it there. */
-        const val UNKNOWN_AT_HOME = 0.3
-    }
+    fun noteRead(parts: List<PromptPart>): Long =
+        unreadTokens(parts, isHome = true).also { state.memory.noteRead(parts) }
 }
 
 /** An engine with calls under way that sent nothing for this long gets no new ones. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -6,8 +6,8 @@
 
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.UpstreamName
+import io.teaselspring.core.placement.EngineMemory
 import io.teaselspring.core.placement.PlacementCandidate
-import io.teaselspring.core.placement.PromptPart
 import io.teaselspring.core.registry.InstanceRegistry
 import io.teaselspring.core.registry.RegisteredInstance
 import io.teaselspring.core.registry.RegistryChange
@@ -40,7 +40,7 @@
     private var heardAtMs = 0L
     private var failures = 0
     private var avoidUntilMs = 0L
-    private val recentParts = RecentParts()
+    val memory = EngineMemory()
 
     /** Takes over a changed row of the same run. */
     fun update(row: RegisteredInstance) {
@@ -90,23 +90,6 @@
         )
     }
 
-    /**
-     * Tokens of [parts] that are probably not in the instance's cache. A shared part that this entry has not sent there
-     * counts with [unknownShare] of its tokens; the last part is always the call's own.
-     */
-    fun unreadTokens(
-        parts: List<PromptPart>,
-        unknownShare: Double,
-    ): Long {
-        val shared = parts.dropLast(1).filter { it.id !in recentParts }.sumOf { it.tokens }
-        return (shared * unknownShare).toLong() + (parts.lastOrNull()?.tokens ?: 0)
-    }
-
-    /** The instance reads [parts]. */
-    fun noteRead(parts: List<PromptPart>) {
-        parts.dropLast(1).forEach { recentParts.add(it.id) }
-    }
-
     fun candidate(
         nowMs: Long,
         silenceMs: Long,
@@ -132,26 +115,6 @@
     }
 }
 
-/** The parts that this entry sent to one instance lately, the least recently used dropped first. */
-private class RecentParts {
-    private val parts =
-        object : LinkedHashMap<String, Boolean>(INITIAL_SIZE, LOAD_FACTOR, true) {
-            override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, Boolean>) = size > MAX_PARTS
-        }
-
-    operator fun contains(id: String) = parts.containsKey(id)
-
-    fun add(id: String) {
-        parts[id] = true
-    }
-
-    private companion object {
-        const val INITIAL_SIZE = 64
-        const val LOAD_FACTOR = 0.75f
-        const val MAX_PARTS = 512
-    }
-}
-
 /** The instances of all upstreams, as the registry shows them. */
 internal class UpstreamInstances(
     private val connections: HttpConnections,
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/PlannedStopTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/PlannedStopTest.kt
@@ -4,6 +4,7 @@
 package io.teaselspring.daemon.gateway
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.teaselspring.daemon.eventually
@@ -13,6 +14,7 @@
 import java.net.Socket
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class PlannedStopTest :
@@ -93,6 +95,33 @@
                 }
             }
         }
+
+        test("a call that comes while the last usage is stored is refused, not cut by the end of the process") {
+            val calls = AtomicInteger()
+            val engine =
+                ScriptedUpstream { request, output ->
+                    calls.incrementAndGet()
+                    output.answer(request, "whole")
+                    After.KEEP
+                }
+            withGateway(engine, stopLimit = 6.seconds, reportsUsage = true) {
+                coroutineScope {
+                    val kept = connect()
+                    kept.getOutputStream().write(request(PLAIN))
+                    eventually { kept.getInputStream().available() shouldBeGreaterThan 0 }
+                    platform.outage = true
+                    val stop = async { drain() }
+                    delay(PlannedStop.HANDOVER + 500.milliseconds)
+                    val answers = kept.answerTo(request(PLAIN, headers = "X-Time-Budget-Ms: 500\r\n"))
+                    answers shouldContain "whole"
+                    answers shouldContain "HTTP/1.1 503"
+                    answers shouldContain "not run"
+                    calls.get() shouldBe 1
+                    platform.outage = false
+                    stop.await()
+                }
+            }
+        }
     })
 
 private fun Socket.answerTo(request: ByteArray) =
--- /dev/null
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptLoad.kt
@@ -0,0 +1,147 @@
+/*
+ * Calls with prompts whose first parts are shared: classes, sites and the calls of one run, drawn from a seed before
+ * any policy runs.
+ */
+package io.teaselspring.experiment.prompts
+
+import io.teaselspring.core.placement.CallGroup
+import io.teaselspring.core.placement.PromptPart
+import io.teaselspring.core.placement.groupOf
+import kotlin.math.cos
+import kotlin.math.exp
+import kotlin.math.ln
+import kotlin.math.pow
+import kotlin.math.sqrt
+import kotlin.random.Random
+
+/** A random size: log-normal around [mean] with [spread], at most [most]. */
+data class Size(
+    val mean: Double,
+    val spread: Double,
+    val most: Double,
+)
+
+/** A part of a prompt that is one of [subjects]; popular ones come more often. */
+data class SharedPart(
+    val subjects: Int,
+    val tokens: Size,
+)
+
+/** A class of calls. [worth] is what an answer within [targetMs] and [pauseMs] earns, [lateWorth] a later one. */
+data class PromptClass(
+    val name: String,
+    val perSecond: Double,
+    val shared: List<SharedPart>,
+    val ownTokens: Size,
+    val events: Size,
+    val targetMs: Long,
+    val pauseMs: Long,
+    val deadlineMs: Long,
+    val priority: Int,
+    val worth: Double,
+    val lateWorth: Double,
+)
+
+/** [factor] times the calls of the class [name] from [fromMs] on for [forMs]. */
+data class Burst(
+    val name: String,
+    val factor: Double,
+    val fromMs: Long,
+    val forMs: Long,
+)
+
+/** One call. [entry] is a number that the balancer drew. */
+class PromptCall(
+    val id: Long,
+    val profile: PromptClass,
+    val group: CallGroup,
+    val arrivedMs: Long,
+    val prompt: List<PromptPart>,
+    val outputTokens: Int,
+    val entry: Int,
+)
+
+/** The calls of [durationMs]. */
+fun drawCalls(
+    seed: Long,
+    durationMs: Long,
+    classes: List<PromptClass>,
+    bursts: List<Burst>,
+): List<PromptCall> {
+    var lastId = 0L
+    val pauses = classes.map { it.pauseMs }
+    return classes
+        .flatMapIndexed { index, profile ->
+            val random = Random(seed * SEED_STEP + index)
+            val parts = profile.shared.map { shared -> List(shared.subjects) { random.size(shared.tokens) } }
+            arrivals(random, durationMs) { atMs -> profile.perSecond * factor(bursts, profile, atMs) }.map { atMs ->
+                val shared =
+                    profile.shared.mapIndexed {
+                        level,
+                        part,
+                        ->
+                        subject(random, profile, level, part, parts[level])
+                    }
+                val id = ++lastId
+                val own = PromptPart("own-$id", random.size(profile.ownTokens))
+                val events = random.size(profile.events).toInt()
+                val group = groupOf(profile.pauseMs, pauses)
+                PromptCall(
+                    id,
+                    profile,
+                    group,
+                    atMs,
+                    shared + own,
+                    events * TOKENS_PER_EVENT,
+                    random.nextInt(MOST_ENTRIES),
+                )
+            }
+        }.sortedBy { it.arrivedMs }
+}
+
+private fun factor(
+    bursts: List<Burst>,
+    profile: PromptClass,
+    atMs: Long,
+) = bursts.filter { it.name == profile.name && atMs in it.fromMs until it.fromMs + it.forMs }.maxOfOrNull { it.factor }
+    ?: 1.0
+
+private fun subject(
+    random: Random,
+    profile: PromptClass,
+    level: Int,
+    part: SharedPart,
+    tokens: List<Long>,
+): PromptPart {
+    // Inverse of the sum of 1 / rank^skew, which is close to a power of the rank.
+    val rank = (part.subjects * random.nextDouble().pow(1 / (1 - SKEW))).toInt().coerceAtMost(part.subjects - 1)
+    return PromptPart("${profile.name}-$level-$rank", tokens[rank])
+}
+
+/** Poisson arrivals at a rate that is at most [MOST_PER_SECOND]. */
+private fun arrivals(
+    random: Random,
+    durationMs: Long,
+    rate: (atMs: Long) -> Double,
+): List<Long> {
+    var atMs = 0.0
+    val found = mutableListOf<Long>()
+    while (true) {
+        atMs += -ln(1 - random.nextDouble()) * MS_PER_S / MOST_PER_SECOND
+        if (atMs >= durationMs) return found
+        if (random.nextDouble() < rate(atMs.toLong()) / MOST_PER_SECOND) found += atMs.toLong()
+    }
+}
+
+private fun Random.size(size: Size): Long {
+    val normal = sqrt(-2 * ln(1 - nextDouble())) * cos(2 * Math.PI * nextDouble())
+    val value = size.mean * exp(size.spread * normal - size.spread * size.spread / 2)
+    return value.coerceIn(1.0, size.most).toLong()
+}
+
+private const val SEED_STEP = 1_009L
+private const val SKEW = 0.3
+private const val TOKENS_PER_EVENT = 5
+private const val MOST_PER_SECOND = 400.0
+private const val MS_PER_S = 1_000
+private const val MOST_ENTRIES = 1_000_000
--- /dev/null
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenarios.kt
@@ -0,0 +1,134 @@
+/*
+ * The two sites of the milestone as loads of prompts, on a calm day and on one of high load.
+ */
+package io.teaselspring.experiment.prompts
+
+private fun guides(
+    name: String,
+    perSecond: Double,
+) = PromptClass(
+    name,
+    perSecond,
+    listOf(SharedPart(subjects = 169, Size(13_300.0, 0.7, 39_900.0))),
+    ownTokens = Size(3_720.0, 1.1, 53_200.0),
+    events = Size(23.9, 1.4, 95.8),
+    targetMs = 1_500,
+    pauseMs = 800,
+    deadlineMs = 8_000,
+    priority = 2,
+    worth = 1.8,
+    lateWorth = 0.52,
+)
+
+private fun questions(
+    name: String,
+    perSecond: Double,
+    subjects: Int,
+) = PromptClass(
+    name,
+    perSecond,
+    listOf(
+        SharedPart(subjects = 4, Size(2_520.0, 0.4, 6_290.0)),
+        SharedPart(subjects, Size(3_780.0, 0.7, 11_300.0)),
+    ),
+    ownTokens = Size(2_890.0, 1.0, 39_600.0),
+    events = Size(10.4, 1.4, 41.7),
+    targetMs = 500,
+    pauseMs = 300,
+    deadlineMs = 5_000,
+    priority = 1,
+    worth = 2.8,
+    lateWorth = 0.82,
+)
+
+private fun greetings(
+    name: String,
+    perSecond: Double,
+    subjects: Int,
+) = PromptClass(
+    name,
+    perSecond,
+    listOf(SharedPart(8, Size(210.0, 0.4, 524.0)), SharedPart(subjects, Size(140.0, 0.7, 419.0))),
+    ownTokens = Size(1_110.0, 1.0, 3_790.0),
+    events = Size(34.5, 0.89, 120.0),
+    targetMs = 300,
+    pauseMs = 200,
+    deadlineMs = 10_000,
+    priority = 0,
+    worth = 1.2,
+    lateWorth = 0.11,
+)
+
+/** Calls a second of a site's three classes of streams. */
+private data class Rates(
+    val long: Double,
+    val middle: Double,
+    val short: Double,
+)
+
+private fun carriage(rates: Rates) =
+    listOf(
+        guides("guide", rates.long),
+        questions("question", rates.middle, subjects = 56),
+        greetings("greeting", rates.short, subjects = 197),
+    )
+
+private fun association(rates: Rates) =
+    listOf(
+        guides("dossier", rates.long),
+        questions("draft", rates.middle, subjects = 127),
+        greetings("question", rates.short, subjects = 295),
+    )
+
+/** Two bursts of long prompts and one of short ones. */
+private fun bursts(
+    long: String,
+    short: String,
+) = listOf(
+    Burst(long, 2.3, fromMs = 500, forMs = 9_000),
+    Burst(short, 1.9, fromMs = 11_000, forMs = 5_000),
+    Burst(long, 1.8, fromMs = 17_500, forMs = 4_500),
+)
+
+/** The bench goes on after the last burst, through the recovery from the day's end. */
+private const val HIGH_LOAD_MS = 52_000L
+
+private val carriageEngine = EngineFigures(memoryTokens = 647_156)
+private val associationEngine = EngineFigures(memoryTokens = 604_279)
+
+/** All scenarios with the platform's engines. */
+val promptScenarios =
+    listOf(
+        PromptScenario(
+            "prompts-calm-carriage",
+            "8 engines with prefix caches, a calm load from a cold start",
+            engines = 8,
+            carriageEngine,
+            carriage(Rates(10.7, 5.7, 17.0)),
+        ),
+        PromptScenario(
+            "prompts-burst-carriage",
+            "more load and bursts of guides and greetings",
+            engines = 8,
+            carriageEngine,
+            carriage(Rates(11.8, 10.5, 22.7)),
+            bursts("guide", "greeting"),
+            durationMs = HIGH_LOAD_MS,
+        ),
+        PromptScenario(
+            "prompts-calm-association",
+            "13 engines with prefix caches, a calm load from a cold start",
+            engines = 13,
+            associationEngine,
+            association(Rates(16.7, 12.6, 29.2)),
+        ),
+        PromptScenario(
+            "prompts-burst-association",
+            "more load and bursts of dossiers and questions",
+            engines = 13,
+            associationEngine,
+            association(Rates(18.4, 15.8, 34.2)),
+            bursts("dossier", "question"),
+            durationMs = HIGH_LOAD_MS,
+        ),
+    )
