--- a/core/src/main/kotlin/io/teaselspring/core/freshness/StoreClock.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/freshness/StoreClock.kt
@@ -42,15 +42,10 @@
 
     /** As [nowMs], but null from a suspension or a jump of a clock until the next answer. */
     public fun certainNowMs(now: ClockReading): Long? =
-        if (best?.at?.agreesWith(now, JUMP_MS) ==
-            true
-        ) {
-            nowMs(now)
-        } else {
-            null
-        }
+        nowMs(now)?.takeIf { best?.at?.agreesWith(now, JUMP_MS) == true }
 
     private companion object {
+        /** Clocks that differ by one part in a thousand have drifted by 10 ms then. */
         const val KEPT_MS = 10_000L
     }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallRun.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallRun.kt
@@ -11,7 +11,6 @@
 import io.netty.util.concurrent.ScheduledFuture
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.placement.PlacementRequest
-import io.teaselspring.core.placement.QueuedCall
 import io.teaselspring.core.placement.groupOf
 import io.teaselspring.core.placement.placeCall
 import io.teaselspring.core.routing.CallConfig
@@ -47,38 +46,19 @@
         when {
             requestId.isEmpty() -> answer(HttpResponseStatus.BAD_REQUEST, "no request id")
             config == null -> refuse("no configuration yet")
-            else -> decide(config)
-        }
-    }
-
-    private fun decide(config: CallConfig) {
-        val decision = config.decide(request.host, request.path, request.headers[names.key])
-        val limitMs =
-            when {
-                decision !is CallDecision.Allowed -> gateway.settings.certainMs
-                decision.organisation != null && !decision.route.isPublic -> gateway.settings.keyFreshnessMs
-                else -> Long.MAX_VALUE
-            }
-        if (limitMs == Long.MAX_VALUE) {
-            carryOut(config, decision)
-            return
-        }
-        gateway.config.awaitYounger(limitMs) { isYounger ->
-            if (isOver) return@awaitYounger
-            val newest = gateway.config.current ?: config
-            if (isYounger) {
-                carryOut(newest, newest.decide(request.host, request.path, request.headers[names.key]))
-            } else {
-                refuse("configuration too old")
-            }
+            else ->
+                gateway.authorise(config, request) { newest, decision ->
+                    if (!isOver) carryOut(newest, decision)
+                }
         }
     }
 
     private fun carryOut(
         config: CallConfig,
-        decision: CallDecision,
+        decision: CallDecision?,
     ) {
         when (decision) {
+            null -> refuse("configuration too old")
             CallDecision.NoRoute -> answer(HttpResponseStatus.NOT_FOUND, "no route")
             CallDecision.UnknownKey -> answer(HttpResponseStatus.UNAUTHORIZED, "unknown key")
             is CallDecision.Allowed -> begin(config, decision)
@@ -115,18 +95,7 @@
     private fun enqueue() {
         val id = gateway.queues.nextId()
         queuedAs = id
-        val target = call.route.targetLatencyMs
-        val queued =
-            QueuedCall(
-                id,
-                prompt,
-                call.group,
-                call.priority,
-                arrivedMs,
-                lateAfterMs = arrivedMs + target * LATE_PCT / PERCENT,
-                refuseAfterMs = minOf(arrivedMs + target * REFUSE_PCT / PERCENT, endsAtMs),
-            )
-        gateway.queues.add(call.upstream, queued, this)
+        gateway.queues.add(call.upstream, call.queued(id, prompt, arrivedMs, endsAtMs), this)
     }
 
     override fun startAt(
@@ -325,10 +294,5 @@
 
         /** As [STREAM_SILENCE_MS], for calls that take milliseconds. */
         const val PLAIN_SILENCE_MS = 300L
-
-        /** Share of the target after which a call that still waits gives way to those that can make theirs. */
-        const val LATE_PCT = 80
-        const val REFUSE_PCT = 120
-        const val PERCENT = 100
     }
 }
