--- a/standins/src/main/kotlin/io/teaselspring/standins/service/PlainService.kt
+++ b/standins/src/main/kotlin/io/teaselspring/standins/service/PlainService.kt
@@ -38,12 +38,12 @@
     val execution: Int,
 )
 
-/** The response body; [executions] counts all calls executed so far. */
+/** The response body; [executions] counts those of the request with this id. Reads are not recorded and count 1. */
 @Serializable
 internal data class Executed(
     val method: String,
     val path: String,
-    val executions: Long,
+    val executions: Int,
     @SerialName("request_id") val requestId: String?,
 )
 
@@ -114,15 +114,16 @@
         body: String,
     ): Executed {
         executions++
+        var execution = 1
         if (method != "GET") {
-            val execution = (byRequestId[requestId] ?: 0) + 1
+            execution += byRequestId[requestId] ?: 0
             if (requestId != null) byRequestId[requestId] = execution
             if (byRequestId.size > MAX_ENTRIES) byRequestId.remove(byRequestId.keys.first())
             val atMs = clock.now().toEpochMilliseconds()
             entries += Execution(recorded++, atMs, requestId, method, path, headers, body, execution)
             if (entries.size > MAX_ENTRIES) entries.removeFirst()
         }
-        return Executed(method, path, executions, requestId)
+        return Executed(method, path, execution, requestId)
     }
 
     @Synchronized
--- a/standins/src/test/kotlin/io/teaselspring/standins/ServiceTest.kt
+++ b/standins/src/test/kotlin/io/teaselspring/standins/ServiceTest.kt
@@ -78,6 +78,13 @@
             journal() shouldContain """{"executions":0,"by_request_id":{},"entries":[]"""
         }
 
+        test("an answer counts the executions of its own request, whatever else has run") {
+            client.get("http://127.0.0.1:${server.port}/stock/a")
+            post("/bookings", "{}", "r1")
+            post("/bookings", "{}", "r2").bodyAsText() shouldBe
+                """{"method":"POST","path":"/bookings","executions":1,"request_id":"r2"}"""
+        }
+
         test("reads are counted but not recorded") {
             client.get("http://127.0.0.1:${server.port}/stock/a%2Fb").bodyAsText() shouldBe
                 """{"method":"GET","path":"/stock/a%2Fb","executions":1,"request_id":null}"""
