Take the store's time for certain only from answers that came promptly

Its last good reading of the store's clock was over 10 s old, so the late answer replaced it, and the row that it wrote on waking bore a time 4.3 s too early. Another entry took that row for expired 0.8 s later, and both reported window within 25 ms. Trace: lease_began epoch=2 at 11.03 s on the one, epoch=3 at 11.80 s on the other. Ruled out: the clocks' jump check (both ran on), the receiver (it checks nothing), the wait by first sight (not used). Change: an answer makes the store's time certain only if it came within 300 ms, less than the margin between the end of a lease and a takeover (1.1 s); without such an answer within 10 s the old wait from first sight holds.

--- a/core/src/main/kotlin/io/teaselspring/core/freshness/StoreClock.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/freshness/StoreClock.kt
@@ -5,16 +5,24 @@
 
 import io.teaselspring.core.lease.ClockReading
 
-/** Estimates the store's clock between its answers. Not thread-safe. */
-public class StoreClock {
+/**
+ * Estimates the store's clock between its answers. An answer makes the time certain if it came within [promptMs]: only
+ * then it cannot have waited for long in a process that stood still. Not thread-safe.
+ */
+public class StoreClock(
+    private val promptMs: Long = 300,
+) {
     private data class Heard(
         val storeMs: Long,
         val at: ClockReading,
     ) {
-        val difference get() = storeMs - at.monotonicMs
+        fun nowMs(now: ClockReading) = storeMs + now.monotonicMs - at.monotonicMs
+
+        fun isOld(now: ClockReading) = now.monotonicMs - at.monotonicMs > KEPT_MS
     }
 
     private var best: Heard? = null
+    private var lastPrompt: Heard? = null
 
     /**
      * The answer to a question of [askedAt] bears the store's time [storeMs] and arrived at [at]. One that was under
@@ -28,21 +36,23 @@
         if (!askedAt.agreesWith(at, JUMP_MS)) return
         val next = Heard(storeMs, at)
         val last = best
+        val isPrompt = at.monotonicMs - askedAt.monotonicMs <= promptMs
+        if (isPrompt) lastPrompt = next
         // The answer that was under way for the shortest time is the best, until the clocks may have drifted apart.
         val isBetter =
             last == null ||
-                next.difference >= last.difference ||
-                at.monotonicMs - last.at.monotonicMs > KEPT_MS ||
-                !last.at.agreesWith(at, JUMP_MS)
+                storeMs >= last.nowMs(at) ||
+                !last.at.agreesWith(at, JUMP_MS) ||
+                (isPrompt && last.isOld(at))
         if (isBetter) best = next
     }
 
     /** The store's time at [now], at most as late as an answer was under way; later still after a suspension. */
-    public fun nowMs(now: ClockReading): Long? = best?.let { it.difference + now.monotonicMs }
+    public fun nowMs(now: ClockReading): Long? = best?.nowMs(now)
 
-    /** As [nowMs], but null from a suspension or a jump of a clock until the next answer. */
+    /** The store's time at [now], at most [promptMs] late, or null while that is not certain. */
     public fun certainNowMs(now: ClockReading): Long? =
-        nowMs(now)?.takeIf { best?.at?.agreesWith(now, JUMP_MS) == true }
+        lastPrompt?.takeIf { it.at.agreesWith(now, JUMP_MS) && !it.isOld(now) }?.nowMs(now)
 
     private companion object {
         /** Clocks that differ by one part in a thousand have drifted by 10 ms then. */
--- a/core/src/test/kotlin/io/teaselspring/core/freshness/StoreClockTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/freshness/StoreClockTest.kt
@@ -27,6 +27,18 @@
             clock.nowMs(at(10_001)) shouldBe 59_900
         }
 
+        test("an answer that was long under way does not make the time certain, though both clocks ran on") {
+            val clock = StoreClock()
+            clock.heard(50_000, at(0), at(10))
+            clock.certainNowMs(at(10)) shouldBe 50_000
+            // A process that was paused reads an answer that is 5 s old, when its last good one is over 10 s old.
+            clock.heard(57_000, at(7_000), at(12_000))
+            clock.certainNowMs(at(12_000)).shouldBeNull()
+            clock.nowMs(at(12_000)) shouldBe 61_990
+            clock.heard(62_000, at(12_000), at(12_010))
+            clock.certainNowMs(at(12_010)) shouldBe 62_000
+        }
+
         test("after a suspension the time is not certain until the store has answered again") {
             val clock = StoreClock()
             clock.heard(50_000, at(0), at(0))
--- a/core/src/test/kotlin/io/teaselspring/core/lease/LeaseTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/lease/LeaseTest.kt
@@ -20,16 +20,19 @@
     val lease = Lease(Incarnation(name), LeaseTimes()) { "$name-${++serial}" }
     var pausedUntilMs = 0L
     var wallStepMs = 0L
-    val storeClock = StoreClock()
+
+    /** Messages take up to 1.5 s each way here, and the times of the lease leave room for that. */
+    val storeClock = StoreClock(promptMs = 1_500)
     private var suspendedMs = 0L
 
-    /** The monotonic clock stands still while the process is paused. */
+    /** With [stopsClock] the monotonic clock stands still meanwhile, as when the whole machine is suspended. */
     fun pause(
         trueMs: Long,
         untilMs: Long,
+        stopsClock: Boolean,
     ) {
         pausedUntilMs = untilMs
-        suspendedMs += ((untilMs - trueMs) * rate).toLong()
+        if (stopsClock) suspendedMs += ((untilMs - trueMs) * rate).toLong()
     }
 
     fun reading(trueMs: Long): ClockReading {
@@ -76,7 +79,7 @@
         if (random.nextInt(3000) == 0) candidate.wallStepMs += random.nextLong(-5_000, 5_000)
         candidate.lease.epochToSend(candidate.reading(nowMs))?.let { sends += Triple(nowMs, it, candidate.name) }
         step(candidate, LeaseEvent.Tick, nowMs)
-        if (random.nextInt(600) == 0) candidate.pause(nowMs, nowMs + random.nextLong(25_000))
+        if (random.nextInt(600) == 0) candidate.pause(nowMs, nowMs + random.nextLong(25_000), random.nextBoolean())
     }
 
     private fun step(
