Log the configuration that decided a call, not the one at its end

Cause: the line of a call named the newest configuration and its age at the moment of logging. A call that a change overtook was explained by the change: the reader of the log saw a version that had decided nothing. Found while reading the change: AuthorisedCall.configVersion was read nowhere. Change: the version and its age are noted with the decision. CallLogTest: expected 1 but was 2 before; passes now.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/AuthorisedCall.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/AuthorisedCall.kt
@@ -10,9 +10,10 @@
 import io.teaselspring.core.routing.CallConfig
 import io.teaselspring.core.routing.CallDecision
 
-/** A call that the configuration [configVersion] allows. */
+/** A call that the configuration [configVersion] allows, which was known to be [configAgeMs] old at most. */
 internal class AuthorisedCall(
     val configVersion: Long,
+    val configAgeMs: Long?,
     private val decision: CallDecision.Allowed,
     val upstream: UpstreamName,
     val group: CallGroup,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallLog.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallLog.kt
@@ -16,7 +16,10 @@
     val afterMs: Long,
 )
 
-/** Logs [event] of the request [requestId]; [call] is null until the call is authorised. */
+/**
+ * Logs [event] of the request [requestId] with the configuration that decided on it; [call] is null until the call is
+ * authorised.
+ */
 internal fun Gateway.logCall(
     event: String,
     requestId: String,
@@ -34,7 +37,7 @@
     call?.priority,
     call?.upstream,
     details.tried,
-    config.current?.version,
-    config.ageMs(),
+    if (call == null) config.current?.version else call.configVersion,
+    if (call == null) config.ageMs() else call.configAgeMs,
     details.afterMs,
 )
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallRun.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallRun.kt
@@ -77,6 +77,7 @@
         call =
             AuthorisedCall(
                 config.version,
+                gateway.config.ageMs(),
                 decision,
                 upstream,
                 groupOf(decision.route.maxPauseMs, config.pausesOf(upstream)),
