Remove what nothing reads, use what was there, split three old files

Removed: the upstreams of CallConfig with their decoder (connections and slots were read nowhere; that the limit on connections is not kept is on the issue), the length of CallerReply.head and its isWritable, the count of open connections. Used instead of written again: hostOf and portOf for socket addresses, the hop-by-hop headers, one rule for the sound engines of a group in queue and placement. The state page shows the calls that wait and the number of entries.

--- a/core/src/main/kotlin/io/teaselspring/core/admission/AgentScheduler.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/admission/AgentScheduler.kt
@@ -22,10 +22,9 @@
     private val attempts = HashMap<AttemptId, Attempt>()
     private val running = LinkedHashMap<AttemptId, Attempt>()
     private val byDeadline = TreeSet(compareBy<Attempt>({ it.request.deadlineMs }, { it.sequence }))
-    private val withdrawnKeys = HashSet<KeyId>()
+    private val gate = OfferGate(record)
+    private val targets = TargetCheck(prediction, running.values, ::freeSlots)
     private var arrivals = 0L
-    private var draining = false
-    private var reachable = true
 
     /** Applies [event] at [nowMs], which never goes back, and returns what to do. */
     public fun step(
@@ -41,7 +40,7 @@
             is SchedulerEvent.Ended -> end(event, nowMs)
             is SchedulerEvent.KeysWithdrawn -> withdraw(event.keyIds, nowMs, actions)
             is SchedulerEvent.UpstreamReachable -> changeReachable(event.reachable, nowMs, actions)
-            SchedulerEvent.DrainStarted -> draining = true
+            SchedulerEvent.DrainStarted -> gate.draining = true
             SchedulerEvent.Tick -> refuseLate(nowMs, actions)
         }
         fill(nowMs, actions)
@@ -59,7 +58,7 @@
             limit = limit.value,
             lowestTier = lowestTier,
             firstTokenEstimateMs = (wait.meanMs + (firstToken ?: 0.0)).toLong(),
-            draining = draining,
+            draining = gate.draining,
         )
     }
 
@@ -70,21 +69,21 @@
         nowMs: Long,
         actions: MutableList<SchedulerAction>,
     ) {
-        val reason = refusalOf(request, nowMs)
+        val reason = gate.refusalOf(request, nowMs)
         if (reason != null) {
             actions += SchedulerAction.Refuse(request.id, reason, SETTLED_RETRY_AFTER_MS)
             return
         }
         val share = classes.activate(request)
         val wait = prediction.waitOf(request, share, freeSlots(), nowMs)
-        val late = missesTarget(request, share, wait, nowMs)
+        val late = targets.missesTarget(request, share, wait, nowMs)
         val full = classes.queued >= policy.maxQueued && wait.releases > 0
-        val victims = if (late && request.displace) victimsFor(request, share, nowMs) else emptyList()
+        val victims = if (late && request.displace) targets.victimsFor(request, share, nowMs) else emptyList()
         val evicted = if (full && request.displace) evictable(classes, request.tier) else null
         when {
-            late && victims.isEmpty() -> refuse(request, RefusalReason.TOO_LATE, share, wait, nowMs, actions)
+            late && victims.isEmpty() -> actions += targets.refusal(request, RefusalReason.TOO_LATE, share, wait, nowMs)
             full && evicted == null && victims.size < wait.releases ->
-                refuse(request, RefusalReason.QUEUE_FULL, share, wait, nowMs, actions)
+                actions += targets.refusal(request, RefusalReason.QUEUE_FULL, share, wait, nowMs)
             else -> {
                 evicted?.let { drop(it, RefusalReason.DISPLACED, nowMs, actions) }
                 victims.forEach { stop(it, StopCause.PREEMPTED, actions) }
@@ -93,62 +92,6 @@
         }
     }
 
-    private fun refusalOf(
-        request: OfferedRequest,
-        nowMs: Long,
-    ): RefusalReason? =
-        when {
-            !record.add(request.id, nowMs) -> RefusalReason.DUPLICATE
-            request.keyId != null && request.keyId in withdrawnKeys -> RefusalReason.KEY_WITHDRAWN
-            request.deadlineMs <= nowMs -> RefusalReason.EXPIRED
-            draining -> RefusalReason.DRAINING
-            !reachable -> RefusalReason.UPSTREAM_DOWN
-            else -> null
-        }
-
-    /**
-     * A request that starts at once is late only by the learned time to the first token; with displace every agent has
-     * refused already, so it is taken.
-     */
-    private fun missesTarget(
-        request: OfferedRequest,
-        share: ClassShare,
-        wait: Wait,
-        nowMs: Long,
-    ): Boolean {
-        if (wait.releases == 0 && request.displace) return false
-        return nowMs + wait.cautiousMs + share.times.firstTokenMs(nowMs) > request.firstTokenDeadlineMs
-    }
-
-    /** The fewest running attempts whose preemption lets [request] meet its target; empty when that is impossible. */
-    private fun victimsFor(
-        request: OfferedRequest,
-        share: ClassShare,
-        nowMs: Long,
-    ): List<Attempt> {
-        val candidates = preemptable(running.values, request.tier)
-        val ahead = prediction.startsAhead(request, share)
-        for (count in 1..candidates.size) {
-            val wait = prediction.waitBehind(ahead, share.tier, freeSlots() + count + stoppingForPreemption(), nowMs)
-            if (!missesTarget(request, share, wait, nowMs)) return candidates.take(count)
-        }
-        return emptyList()
-    }
-
-    private fun stoppingForPreemption() = running.values.count { it.stopCause == StopCause.PREEMPTED }
-
-    private fun refuse(
-        request: OfferedRequest,
-        reason: RefusalReason,
-        share: ClassShare,
-        wait: Wait,
-        nowMs: Long,
-        actions: MutableList<SchedulerAction>,
-    ) {
-        val retryAfterMs = wait.meanMs + share.times.firstTokenMs(nowMs)
-        actions += SchedulerAction.Refuse(request.id, reason, maxOf(0L, retryAfterMs.toLong()))
-    }
-
     private fun accept(
         request: OfferedRequest,
         share: ClassShare,
@@ -208,7 +151,7 @@
         nowMs: Long,
         actions: MutableList<SchedulerAction>,
     ) {
-        withdrawnKeys += keyIds
+        gate.withdraw(keyIds)
         for (attempt in attempts.values.filter { it.request.keyId in keyIds }.sortedBy { it.sequence }) {
             end(attempt, RefusalReason.KEY_WITHDRAWN, StopCause.KEY_WITHDRAWN, nowMs, actions)
         }
@@ -219,7 +162,7 @@
         nowMs: Long,
         actions: MutableList<SchedulerAction>,
     ) {
-        reachable = nowReachable
+        gate.reachable = nowReachable
         if (nowReachable) return
         for (attempt in attempts.values.filter { it.phase == Phase.QUEUED }.sortedBy { it.sequence }) {
             // The start of a preempted attempt fails, so the entry learns of it and resumes the stream elsewhere.
@@ -264,7 +207,7 @@
         for (share in classes.all()) {
             if (share.fresh.isEmpty()) continue
             val marginMs = if (share.tier < classes.tiers.lastKey()) DISPLACEMENT_MS else 0
-            while (share.fresh.isNotEmpty() && isLate(share.fresh.first(), nowMs + marginMs)) {
+            while (share.fresh.isNotEmpty() && targets.isLate(share.fresh.first(), nowMs + marginMs)) {
                 if (!rescue(share.fresh.first(), nowMs, actions)) break
             }
         }
@@ -278,19 +221,14 @@
     ): Boolean {
         val victim = if (late.request.displace) preemptable(running.values, late.request.tier).firstOrNull() else null
         if (victim == null) {
-            if (late.request.displace && !isLate(late, nowMs)) return false
+            if (late.request.displace && !targets.isLate(late, nowMs)) return false
             drop(late, RefusalReason.TOO_LATE, nowMs, actions)
             return true
         }
-        if (stoppingForPreemption() == 0) stop(victim, StopCause.PREEMPTED, actions)
+        if (targets.stoppingForPreemption() == 0) stop(victim, StopCause.PREEMPTED, actions)
         return false
     }
 
-    private fun isLate(
-        attempt: Attempt,
-        nowMs: Long,
-    ) = nowMs + attempt.share.times.firstTokenMs(nowMs) > attempt.request.firstTokenDeadlineMs
-
     /** Refuses a queued attempt that has never started. */
     private fun drop(
         attempt: Attempt,
@@ -300,7 +238,7 @@
     ) {
         forget(attempt)
         val wait = prediction.waitOf(attempt.request, attempt.share, freeSlots(), nowMs)
-        refuse(attempt.request, reason, attempt.share, wait, nowMs, actions)
+        actions += targets.refusal(attempt.request, reason, attempt.share, wait, nowMs)
     }
 
     private fun forget(attempt: Attempt) {
@@ -325,11 +263,11 @@
         nowMs: Long,
         actions: MutableList<SchedulerAction>,
     ) {
-        while (reachable && freeSlots() > 0) {
+        while (gate.reachable && freeSlots() > 0) {
             val highest = classes.highestWaitingTier() ?: return
             val byCredit = floor.tierByCredit(classes, prediction, freeSlots(), nowMs)
             val next = classes.nextIn(byCredit ?: highest)?.head() ?: return
-            if (!next.started && isLate(next, nowMs) && !isLate(next.share.fresh.last(), nowMs)) {
+            if (!next.started && targets.isLate(next, nowMs) && !targets.isLate(next.share.fresh.last(), nowMs)) {
                 drop(next, RefusalReason.TOO_LATE, nowMs, actions)
                 continue
             }
--- a/core/src/main/kotlin/io/teaselspring/core/placement/CallQueue.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/CallQueue.kt
@@ -109,7 +109,7 @@
         groups: Int,
         started: (QueueDecision.Start) -> Unit,
     ): List<QueueDecision.Refuse> {
-        val shares = EngineShares(engines, groups)
+        val shares = SharedEngines(engines, groups)
         // What comes too late for its target follows what can still make it, within each priority.
         waiting.sortWith(compareBy({ it.priority }, { nowMs >= it.lateAfterMs }, { it.arrivedMs }))
         val refused = mutableListOf<QueueDecision.Refuse>()
@@ -162,19 +162,14 @@
         windowTokens: Long,
     ) = work < policy.mostWork && (pendingTokens == 0L || pendingTokens + unread <= windowTokens)
 
-    private inner class EngineShares(
+    private inner class SharedEngines(
         engines: List<EngineView>,
         groups: Int,
     ) {
         private val sound = engines.filter { !it.isAvoided }.ifEmpty { engines }
         private val groupByEngine = shareOut(engines.map { it.id }, groups)
 
-        fun of(call: QueuedCall): List<EngineView> =
-            if (groupByEngine.isEmpty()) {
-                sound
-            } else {
-                sound.filter { groupByEngine[it.id] == call.group.index }.ifEmpty { sound }
-            }
+        fun of(call: QueuedCall): List<EngineView> = soundOf(call.group, sound, groupByEngine) { it.id }
 
         /** The first engine of another group that can take an interactive call at once; it cannot wait long. */
         fun overflowFor(call: QueuedCall): EngineView? {
--- a/core/src/main/kotlin/io/teaselspring/core/placement/EngineShares.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/EngineShares.kt
@@ -51,6 +51,14 @@
     return ranked.withIndex().associate { (place, id) -> id to ends.drop(1).count { place >= it } }
 }
 
+/** Those of [sound] engines that serve [group] by [shares]; all of them if it has none left. */
+internal fun <T> soundOf(
+    group: CallGroup,
+    sound: List<T>,
+    shares: Map<InstanceId, Int>,
+    id: (T) -> InstanceId,
+): List<T> = if (shares.isEmpty()) sound else sound.filter { shares[id(it)] == group.index }.ifEmpty { sound }
+
 /** Order in which engines are given to the groups, first to group 0. */
 internal fun shareRank(id: InstanceId): Long = rank(SHARES_SEED, id)
 
--- a/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
@@ -51,7 +51,7 @@
 ): PlacementCandidate? {
     val untried = candidates.filter { it.id !in tried }
     val sound = untried.filter { !it.isAvoided }.ifEmpty { untried }
-    val pool = ownPool(candidates, sound, request.group)
+    val pool = soundOf(request.group, sound, shareOut(candidates.map { it.id }, request.group.count)) { it.id }
     if (pool.size <= 1) return pool.firstOrNull()
     val part = request.sharedPart ?: return leastLoaded(pool, request.home, random)
     val limit = pool.sumOf { it.work } / pool.size * policy.spillRatio + policy.spillSlack
@@ -60,16 +60,6 @@
         ?: leastLoaded(pool, request.home, random)
 }
 
-/** The instances of the request's group; all of [sound] when the group has no sound one left. */
-private fun ownPool(
-    all: List<PlacementCandidate>,
-    sound: List<PlacementCandidate>,
-    group: CallGroup,
-): List<PlacementCandidate> {
-    val groups = shareOut(all.map { it.id }, group.count)
-    return if (groups.isEmpty()) sound else sound.filter { groups[it.id] == group.index }.ifEmpty { sound }
-}
-
 private fun leastLoaded(
     pool: List<PlacementCandidate>,
     home: DataCentre,
--- a/core/src/main/kotlin/io/teaselspring/core/routing/CallConfig.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/routing/CallConfig.kt
@@ -56,13 +56,6 @@
     val priority: Int?,
 )
 
-/** An upstream as configured. [connections] bounds the connections to one instance from all callers together. */
-public data class CallUpstream(
-    val name: UpstreamName,
-    val connections: Int,
-    val slots: Int?,
-)
-
 /** Limits on callers. */
 public data class CallerLimits(
     val headerBytes: Int = 16 * 1024,
@@ -93,7 +86,6 @@
 public class CallConfig(
     public val version: Long,
     public val routes: List<CallRoute>,
-    public val upstreams: Map<UpstreamName, CallUpstream>,
     public val organisations: List<CallingOrganisation>,
     public val limits: CallerLimits = CallerLimits(),
 ) {
--- a/core/src/test/kotlin/io/teaselspring/core/placement/CallQueueTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/placement/CallQueueTest.kt
@@ -82,18 +82,18 @@
             return starts to refused
         }
 
+        /** Starts the first call on the coast at its home, and returns that. */
+        fun CallQueue.startFirst(engines: List<TestEngine>): InstanceId {
+            add(guide("coast"))
+            return run(0, engines).first.single().engine
+        }
+
         fun engines(count: Int) = (1..count).map { TestEngine("engine-$it") }
 
         test("a call goes to the same engine as the last one on its subject") {
             val all = engines(8)
             val queue = CallQueue(narrow) { ENTRIES }
-            queue.add(guide("coast"))
-            val first =
-                queue
-                    .run(0, all)
-                    .first
-                    .single()
-                    .engine
+            val first = queue.startFirst(all)
             all.forEach { it.pendingTokens = 0 }
             queue.add(guide("coast"))
             queue
@@ -126,13 +126,7 @@
         test("a call does not leave its subject's engine for a short wait") {
             val all = engines(8)
             val queue = CallQueue(narrow) { ENTRIES }
-            queue.add(guide("coast"))
-            val home =
-                queue
-                    .run(0, all)
-                    .first
-                    .single()
-                    .engine
+            val home = queue.startFirst(all)
             all.single { it.id == home }.pendingTokens = 9_000
             queue.add(guide("coast", arrivedMs = 0))
             queue.run(20, all).first.shouldBeEmpty()
@@ -141,13 +135,7 @@
         test("a call leaves its subject's engine when reading the subject elsewhere is faster than waiting") {
             val all = engines(8)
             val queue = CallQueue(narrow) { ENTRIES }
-            queue.add(guide("coast"))
-            val home =
-                queue
-                    .run(0, all)
-                    .first
-                    .single()
-                    .engine
+            val home = queue.startFirst(all)
             all.single { it.id == home }.pendingTokens = 60_000
             queue.add(guide("coast", arrivedMs = 0))
             val second =
--- a/core/src/test/kotlin/io/teaselspring/core/routing/CallConfigTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/routing/CallConfigTest.kt
@@ -36,7 +36,6 @@
             CallConfig(
                 7,
                 listOf(route("all", "/"), route("deep", "/a/b/"), route("open", "/open/", isPublic = true)),
-                emptyMap(),
                 listOf(
                     CallingOrganisation(OrganisationId("hotel"), setOf("k1", "k2"), priority = 0),
                     CallingOrganisation(OrganisationId("coach"), setOf("k3"), priority = null),
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallRequest.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallRequest.kt
@@ -22,14 +22,10 @@
 
 /** The caller's side of one call. */
 internal interface CallerReply {
-    /** Whether more of an answer can be written without piling up. */
-    val isWritable: Boolean
-
-    /** Starts an answer whose body follows in pieces; without a [length] it is sent in chunks. */
+    /** Starts an answer whose body follows in pieces. */
     fun head(
         status: HttpResponseStatus,
         headers: HttpHeaders,
-        length: Long? = null,
     )
 
     /** A piece of the body; takes ownership of [piece]. */
@@ -49,7 +45,7 @@
     fun abort()
 }
 
-/** The runs that read the caller's connection tell them of. */
+/** What a run hears of its caller's connection. */
 internal interface CallHandle {
     /** The caller has closed the connection. */
     fun callerLeft()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallerConnection.kt
@@ -50,8 +50,6 @@
 
     val isBusy: Boolean get() = answering || reading != null
 
-    override val isWritable: Boolean get() = channel.isWritable
-
     override fun channelActive(ctx: ChannelHandlerContext) {
         channel = ctx.channel()
         quietSinceMs = parts.nowMs()
@@ -180,16 +178,9 @@
     override fun head(
         status: HttpResponseStatus,
         headers: HttpHeaders,
-        length: Long?,
     ) {
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers)
-        if (length ==
-            null
-        ) {
-            HttpUtil.setTransferEncodingChunked(response, true)
-        } else {
-            HttpUtil.setContentLength(response, length)
-        }
+        HttpUtil.setTransferEncodingChunked(response, true)
         setConnection(headers)
         channel.write(response, channel.voidPromise())
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/EntryCount.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/EntryCount.kt
@@ -59,7 +59,7 @@
         val count = maxOf(1, entries, lastCounted)
         lastCounted = entries
         if (count == stored) return
-        val row = TableWrite(TABLE, KEY, ifVersion = null, buildJsonObject { put("count", count) })
+        val row = TableWrite(TABLE, KEY, ifVersion = null, buildJsonObject { put(COUNT, count) })
         table.transaction(listOf(row)).getOrElse {
             log.warn("event=entry_count_not_stored count={} {}", count, it.describe())
             return
@@ -74,17 +74,16 @@
     }
 
     private fun Row.count() =
-        maxOf(
-            1,
-            value.jsonObject
-                .getValue("count")
-                .jsonPrimitive.int,
-        )
+        value.jsonObject
+            .getValue(COUNT)
+            .jsonPrimitive.int
+            .coerceAtLeast(1)
 
     private fun unreadable(error: Throwable) =
         PlatformError.Unavailable("entry-count", KEY, error.message ?: "unreadable")
 
     private companion object {
         const val KEY = "entries/count"
+        const val COUNT = "count"
     }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/EventFramer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/EventFramer.kt
@@ -7,7 +7,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 
-/** Cuts a stream at the ends of its events. [release] must be called at the end. */
+/** Cuts a stream at the ends of its events. [dropPartial] must be called at the end. */
 internal class EventFramer {
     private var partial: ByteBuf = Unpooled.EMPTY_BUFFER
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -229,6 +229,8 @@
                 put("config_age_ms", gateway.config.ageMs())
                 put("usage_lease_held", usageLease.epochToSend() != null)
                 put("calls_running", callers.running)
+                put("calls_queued", gateway.queues.size)
+                put("entries", gateway.entries())
                 putJsonArray("instances") {
                     gateway.instances.all().forEach { one ->
                         add(
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HeaderNames.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HeaderNames.kt
@@ -4,6 +4,8 @@
  */
 package io.teaselspring.daemon.gateway
 
+import io.teaselspring.daemon.http.HOP_BY_HOP
+
 /**
  * Header names. Those in [systemOnly] are the system's to set and never passed on from a caller; [perConnection] ones
  * concern one connection only. All comparisons ignore case.
@@ -27,20 +29,7 @@
             .mapTo(HashSet()) { it.lowercase() }
 
     companion object {
-        /** Lower-case names that concern one connection only. */
-        val perConnection: Set<String> =
-            setOf(
-                "connection",
-                "keep-alive",
-                "proxy-authenticate",
-                "proxy-authorization",
-                "proxy-connection",
-                "te",
-                "trailer",
-                "transfer-encoding",
-                "upgrade",
-                "content-length",
-                "expect",
-            )
+        /** Lower-case names that concern one connection or one message only. */
+        val perConnection: Set<String> = HOP_BY_HOP + setOf("proxy-authorization", "content-length", "expect")
     }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/Addresses.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/Addresses.kt
@@ -4,6 +4,7 @@
 package io.teaselspring.daemon.http
 
 import io.ktor.server.engine.EmbeddedServer
+import java.net.InetSocketAddress
 
 /** The IP address in [address], "IP:port". */
 fun hostOf(address: String): String = address.substringBeforeLast(':').removeSurrounding("[", "]")
@@ -11,6 +12,9 @@
 /** The port in [address], "IP:port". */
 fun portOf(address: String): Int = address.substringAfterLast(':').toInt()
 
+/** The socket address that [address], "IP:port", names. */
+fun socketAddressOf(address: String): InetSocketAddress = InetSocketAddress(hostOf(address), portOf(address))
+
 /** The address that this server's first connector is bound to, "IP:port". */
 suspend fun EmbeddedServer<*, *>.boundAddress(): String =
     engine.resolvedConnectors().first().let { connector ->
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HeaderFilter.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HeaderFilter.kt
@@ -12,7 +12,8 @@
 
 private val KEY_HEADERS = setOf("authorization", "x-api-key", "proxy-authorization")
 
-private val HOP_BY_HOP =
+/** Lower-case names that concern one connection only. */
+internal val HOP_BY_HOP: Set<String> =
     setOf(
         "connection",
         "keep-alive",
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
@@ -149,12 +149,7 @@
 ) {
     private val idle = ArrayDeque<HttpConnection>()
 
-    /** Connections that are open or being opened. */
-    var open = 0
-        private set
-
-    val socketAddress: InetSocketAddress =
-        InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
+    val socketAddress: InetSocketAddress = socketAddressOf(address)
 
     /** Sends [request] on a kept connection or a new one. */
     fun send(
@@ -174,14 +169,10 @@
         listener: ExchangeListener,
     ): Exchange {
         val exchange = OpeningExchange()
-        open += 1
         connections.open(
             this,
             connected = { exchange.connected(it) { it.start(request, listener) } },
-            failed = {
-                open -= 1
-                if (!exchange.isCancelled) listener.notSent(it)
-            },
+            failed = { if (!exchange.isCancelled) listener.notSent(it) },
         )
         return exchange
     }
@@ -193,7 +184,6 @@
     }
 
     fun closed(connection: HttpConnection) {
-        open -= 1
         idle.remove(connection)
     }
 
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
@@ -141,7 +141,6 @@
             route(STREAM, CallKind.STREAM, attempts = 2),
             route(RESUMED, CallKind.STREAM, attempts = 2, isResumable = true),
         ),
-        emptyMap(),
         listOf(CallingOrganisation(OrganisationId("hotel"), keys, 1)),
     )
 
--- a/protocol/src/main/kotlin/io/teaselspring/protocol/Message.kt
+++ b/protocol/src/main/kotlin/io/teaselspring/protocol/Message.kt
@@ -30,76 +30,6 @@
 /** Largest number of chunks of one attempt that an agent sends beyond the last ones reported as received. */
 public const val CHUNK_WINDOW: Int = 64
 
-/** The role of a process. */
-@Serializable
-public enum class Role {
-    @SerialName("entry")
-    ENTRY,
-
-    @SerialName("agent")
-    AGENT,
-}
-
-/** What kind of call a submitted request is. */
-@Serializable
-public enum class CallKind {
-    /** A chat completion on a model engine; the agent reads the engine's event stream. */
-    @SerialName("chat")
-    CHAT,
-
-    /** A call on a plain service, passed through. */
-    @SerialName("http")
-    HTTP,
-}
-
-/** Whether a request that failed can have run. */
-@Serializable
-public enum class RunState {
-    /** The request has certainly not run and will not run. */
-    @SerialName("not_run")
-    NOT_RUN,
-
-    /** The request may have run, in whole or in part. */
-    @SerialName("unknown")
-    UNKNOWN,
-}
-
-/** Why an agent did not run a request. */
-@Serializable
-public enum class NotRunReason {
-    /** The predicted wait misses the class's target. */
-    @SerialName("late")
-    TOO_LATE,
-
-    /** The queue is full. */
-    @SerialName("full")
-    QUEUE_FULL,
-
-    /** Evicted from the queue for a request of a higher tier. */
-    @SerialName("displaced")
-    DISPLACED,
-
-    /** The agent or its upstream is draining or stopped. */
-    @SerialName("draining")
-    DRAINING,
-
-    /** The upstream does not answer. */
-    @SerialName("upstream_down")
-    UPSTREAM_DOWN,
-
-    /** The key was withdrawn. */
-    @SerialName("key_withdrawn")
-    KEY_WITHDRAWN,
-
-    /** The request id was already recorded or cancelled. */
-    @SerialName("duplicate")
-    DUPLICATE,
-
-    /** The model or path is not served here. */
-    @SerialName("not_served")
-    NOT_SERVED,
-}
-
 /** A message between two processes of the system. */
 @Serializable
 public sealed interface Message {
@@ -295,25 +225,3 @@
     @SerialName("bye")
     public data object Goodbye : Message
 }
-
-/** One header of a passed-through call. */
-@Serializable
-public data class Header(
-    val name: String,
-    val value: String,
-)
-
-/**
- * What one attempt used, in tokens (requests for plain services have 0). [sequence] counts the records that this agent
- * incarnation produced for one entry incarnation, from 1.
- */
-@Serializable
-public data class UsageRecord(
-    val sequence: Long,
-    val requestId: RequestId,
-    val organisation: OrganisationId?,
-    val serviceClass: ClassName,
-    val promptTokens: Long,
-    val completionTokens: Long,
-    val finishedAtMs: Long,
-)
