Log dispatches and measure queue and stream times of the entry

The log of an entry said how a request ended, not what the entry assumed when it sent it, so the hypotheses on the incident could not be told apart: an unbounded number of running streams, a bound that does not hold for many entries, or copies of shared parts. New: event=call_dispatched with the wait, the uncached tokens expected, the known load and its age, and the pending prefill tokens; first_event_ms in call_ended; teaselspring_call_queue_seconds and teaselspring_stream_seconds.

The estimate of an instance's load moves from the gateway to core (LoadEstimate), where the emulation can use it. No change of decisions.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
@@ -37,6 +37,24 @@
             .classicUpperBounds(0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 8.0)
             .register(registry)
 
+    private val queueSeconds =
+        Histogram
+            .builder()
+            .name("teaselspring_call_queue_seconds")
+            .help("Time in the queue of the entry until the first offer to an instance")
+            .labelNames("route")
+            .classicOnly()
+            .classicUpperBounds(0.01, 0.03, 0.1, 0.3, 1.0, 1.5, 3.0, 8.0)
+            .register(registry)
+    private val streamSeconds =
+        Histogram
+            .builder()
+            .name("teaselspring_stream_seconds")
+            .help("Time between the first event and the end of a stream by outcome")
+            .labelNames("route", "outcome")
+            .classicOnly()
+            .classicUpperBounds(0.1, 0.3, 1.0, 2.0, 4.0, 8.0, 16.0)
+            .register(registry)
     private val controlCalls =
         Counter
             .builder()
@@ -60,6 +78,17 @@
         after: Duration,
     ) = responseSeconds.labelValues(route).observe(after.toDouble(DurationUnit.SECONDS))
 
+    fun dispatched(
+        route: String,
+        after: Duration,
+    ) = queueSeconds.labelValues(route).observe(after.toDouble(DurationUnit.SECONDS))
+
+    fun streamEnded(
+        route: String,
+        outcome: String,
+        after: Duration,
+    ) = streamSeconds.labelValues(route, outcome).observe(after.toDouble(DurationUnit.SECONDS))
+
     fun controlCall(
         call: String,
         outcome: String,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -246,7 +246,7 @@
                                 put("upstream", instance.registered.upstream.value)
                                 put("address", instance.registered.address)
                                 put("draining", instance.registered.isDraining)
-                                put("own_calls", instance.ownRequests)
+                                put("own_calls", instance.load.ownRequests)
                                 put("pending_prefill_tokens", instance.pendingPrefillTokens)
                             },
                         )
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
+import io.teaselspring.core.placement.ReportedLoad
 import io.teaselspring.core.routing.RouteKind
 import io.teaselspring.daemon.http.Exchange
 import io.teaselspring.daemon.http.ExchangeListener
@@ -114,7 +115,7 @@
     override fun head(response: HttpResponse) {
         val now = gateway.nowMs()
         instance.recordActivity(now)
-        parseLoad(response.headers()[names.load])?.let { instance.recordLoad(it, now) }
+        parseLoad(response.headers()[names.load])?.let { instance.load.record(it, now) }
         val headers = uncheckedHeaders.newHeaders()
         response.headers().iteratorCharSequence().forEach { (name, value) ->
             if (name.toString().lowercase() !in HeaderNames.perConnection) headers.add(name, value)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -43,6 +43,7 @@
     private var framer: EventFramer? = null
     private var isFinished = false
     private var queueId: Long? = null
+    private var firstEventMs: Long? = null
 
     fun start() {
         val config = gateway.config.current
@@ -140,6 +141,9 @@
         instance: UpstreamInstance,
         uncachedTokens: Long,
     ) {
+        val waitedMs = gateway.nowMs() - arrivedMs
+        if (attempted.isEmpty()) gateway.metrics.dispatched(authorised.route.name, waitedMs.milliseconds)
+        gateway.logDispatch(requestId, authorised, instance, uncachedTokens, waitedMs)
         attempted += instance.registered.id
         attempt =
             InstanceAttempt(gateway, this, authorised, instance, uncachedTokens).also {
@@ -200,6 +204,7 @@
 
     /** Forwards [chunk] of the stream; the attempt keeps its ownership. */
     fun streamChunk(chunk: ByteBuf) {
+        if (firstEventMs == null) firstEventMs = gateway.nowMs() - arrivedMs
         val framer = framer
         if (framer == null) writer.writeBody(chunk.retain()) else framer.add(chunk)?.let { writer.writeBody(it) }
     }
@@ -281,6 +286,10 @@
         timeout?.cancel(false)
         framer?.dropPartial()
         gateway.metrics.request(if (::authorised.isInitialized) authorised.route.name else "none", outcome)
+        firstEventMs?.let { first ->
+            val streamedMs = gateway.nowMs() - arrivedMs - first
+            gateway.metrics.streamEnded(authorised.route.name, outcome, streamedMs.milliseconds)
+        }
         log("call_ended", reason, outcome)
         request.body.release()
     }
@@ -291,7 +300,7 @@
         outcome: String? = null,
     ) {
         val known = if (::authorised.isInitialized) authorised else null
-        val details = RequestLogDetails(reason, outcome, attempted, gateway.nowMs() - arrivedMs)
+        val details = RequestLogDetails(reason, outcome, attempted, gateway.nowMs() - arrivedMs, firstEventMs)
         gateway.logRequest(event, requestId, known, details)
     }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestLog.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestLog.kt
@@ -8,12 +8,16 @@
 
 private val log = LoggerFactory.getLogger("io.teaselspring.daemon.calls")
 
-/** State of a request [afterMs] after its arrival; [attempted] are the instances tried, in order. */
+/**
+ * State of a request [afterMs] after its arrival; [attempted] are the instances tried, in order. A stream had its first
+ * event [firstEventMs] after the arrival.
+ */
 internal class RequestLogDetails(
     val reason: String,
     val outcome: String?,
     val attempted: Set<InstanceId>,
     val afterMs: Long,
+    val firstEventMs: Long?,
 )
 
 /**
@@ -27,7 +31,7 @@
     details: RequestLogDetails,
 ) = log.info(
     "event={} request={} outcome={} reason=\"{}\" route={} organisation={} priority={} upstream={}" +
-        " instances={} config={} config_age_ms={} after_ms={}",
+        " instances={} config={} config_age_ms={} after_ms={} first_event_ms={}",
     event,
     requestId,
     details.outcome,
@@ -40,4 +44,31 @@
     if (authorised == null) config.current?.version else authorised.configVersion,
     if (authorised == null) config.ageMs() else authorised.configAgeMs,
     details.afterMs,
+    details.firstEventMs,
+)
+
+/**
+ * Logs that the request [requestId] is offered to [instance], which this entry expects to prefill [uncachedTokens], and
+ * the load that this entry knows of.
+ */
+internal fun Gateway.logDispatch(
+    requestId: String,
+    authorised: AuthorisedRequest,
+    instance: UpstreamInstance,
+    uncachedTokens: Long,
+    waitedMs: Long,
+) = log.info(
+    "event=call_dispatched request={} route={} upstream={} instance={} waited_ms={} uncached_tokens={}" +
+        " own_calls={} reported_calls={} report_age_ms={} pending_prefill_tokens={} queued={}",
+    requestId,
+    authorised.route.name,
+    authorised.upstream,
+    instance.registered.id,
+    waitedMs,
+    uncachedTokens,
+    instance.load.ownRequests,
+    instance.load.lastReport?.let { it.running + it.waiting },
+    instance.load.reportAgeMs(nowMs()),
+    instance.pendingPrefillTokens,
+    queues.size,
 )
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -6,6 +6,7 @@
 
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.UpstreamName
+import io.teaselspring.core.placement.LoadEstimate
 import io.teaselspring.core.placement.PlacementCandidate
 import io.teaselspring.core.placement.PrefixCacheEstimate
 import io.teaselspring.core.registry.InstanceRegistry
@@ -14,17 +15,9 @@
 import io.teaselspring.daemon.http.HttpConnections
 import io.teaselspring.daemon.http.ServerConnections
 import org.slf4j.LoggerFactory
-import kotlin.math.exp
 
 private val log = LoggerFactory.getLogger("io.teaselspring.daemon.gateway")
 
-/** Load that an instance reports in a response header: requests running and waiting, and its slots. */
-internal data class ReportedLoad(
-    val running: Int,
-    val waiting: Int,
-    val slots: Int,
-)
-
 /** One instance of an upstream as this entry sees it. Times are monotonic milliseconds. */
 internal class UpstreamInstance(
     registered: RegisteredInstance,
@@ -32,11 +25,8 @@
 ) {
     var registered = registered
         private set
-    var ownRequests = 0
-        private set
+    val load = LoadEstimate()
     var pendingPrefillTokens = 0L
-    private var otherEntriesLoad = 0.0
-    private var reportedAtMs = 0L
     private var lastActivityMs = 0L
     private var failures = 0
     private var ejectedUntilMs = 0L
@@ -48,26 +38,16 @@
     }
 
     fun requestStarted(nowMs: Long) {
-        if (ownRequests == 0) lastActivityMs = nowMs
-        ownRequests += 1
+        if (load.ownRequests == 0) lastActivityMs = nowMs
+        load.requestStarted()
     }
 
-    fun requestEnded() {
-        ownRequests -= 1
-    }
+    fun requestEnded() = load.requestEnded()
 
     fun recordActivity(nowMs: Long) {
         lastActivityMs = nowMs
     }
 
-    fun recordLoad(
-        load: ReportedLoad,
-        nowMs: Long,
-    ) {
-        otherEntriesLoad = maxOf(0, load.running + load.waiting - ownRequests).toDouble()
-        reportedAtMs = nowMs
-    }
-
     fun recordSuccess() {
         failures = 0
         ejectedUntilMs = 0
@@ -94,14 +74,12 @@
         nowMs: Long,
         stallMs: Long,
     ): PlacementCandidate {
-        // The load of other entries changes within seconds, so an old report counts less and less.
-        val decayedLoad = otherEntriesLoad * exp((reportedAtMs - nowMs) / REPORT_DECAY_MS)
-        val isStalled = ownRequests > 0 && nowMs - lastActivityMs > stallMs
+        val isStalled = load.ownRequests > 0 && nowMs - lastActivityMs > stallMs
         return PlacementCandidate(
             registered.id,
             registered.dataCentre,
             registered.slots,
-            ownRequests + decayedLoad,
+            load.requestsAt(nowMs),
             pendingPrefillTokens,
             isStalled || nowMs < ejectedUntilMs,
         )
@@ -111,7 +89,6 @@
         const val INITIAL_EJECTION_MS = 250L
         const val MAX_EJECTION_MS = 4_000L
         const val MAX_DOUBLINGS = 4
-        const val REPORT_DECAY_MS = 2_000.0
     }
 }
 
