--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptEngine.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptEngine.kt
@@ -1,12 +1,13 @@
 /*
  * Fake of the platform's model engine: one batch, prompts that are read in chunks between the tokens of the running
- * requests, a prefix cache in the memory that the running requests leave, priorities and preemption. An event of a
- * stream holds several tokens.
+ * requests, a prefix cache in the memory that the running requests leave, priorities and preemption. A running request
+ * keeps its shared parts from being evicted. An event of a stream holds several tokens. Requests end at their deadline.
  */
 package io.teaselspring.experiment.prompts
 
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.placement.PromptPart
+import io.teaselspring.core.placement.ReportedLoad
 import io.teaselspring.experiment.EventLoop
 
 /** Figures of an engine. Times are milliseconds. */
@@ -23,11 +24,16 @@
     val tokensPerEvent: Int = 5,
 )
 
-/** A request as an engine gets it; lower [priority] goes first. [onEvent] is told whether it was the last one. */
+/**
+ * A request as an engine gets it; lower [priority] goes first. [onEvent] is told whether it was the last one. [onLost]
+ * is called instead of further events if the engine crashes or [deadlineMs] passes.
+ */
 class EngineRequest(
     val prompt: List<PromptPart>,
     val outputTokens: Int,
     val priority: Int,
+    val deadlineMs: Long = Long.MAX_VALUE,
+    val onLost: () -> Unit = {},
     val onEvent: (isLast: Boolean) -> Unit,
 )
 
@@ -42,6 +48,8 @@
         var remainingPrefill: Long,
         var produced: Int,
         var ownTokens: Long,
+        /** Tokens of shared parts that it has to prefill and that are not in the cache yet. */
+        var uncachedSharedTokens: Long = 0,
     ) {
         val context get() = request.prompt.sumOf { it.tokens } + produced
     }
@@ -51,6 +59,13 @@
     private val cache = LinkedHashMap<String, Long>(INITIAL_SIZE, LOAD_FACTOR, true)
     private var isStepping = false
 
+    /** Number of crashes; steps that began before a crash have no effect. */
+    private var crashes = 0
+
+    /** False after a crash until [restart]. */
+    var isUp = true
+        private set
+
     /** Prompt tokens read so far. */
     var readTokens = 0L
         private set
@@ -60,15 +75,44 @@
     /** Requests that run or wait. */
     val load: Int get() = running.size + waiting.size
 
-    /** False if the engine is full. */
+    /** The load that it states in the head of a response. */
+    val reportedLoad: ReportedLoad get() = ReportedLoad(running.size, waiting.size, figures.slots)
+
+    val memoryTokens: Long get() = figures.memoryTokens
+
+    /** Loses all requests and the prefix cache. */
+    fun crash() {
+        val lost = running + waiting
+        running.clear()
+        waiting.clear()
+        cache.clear()
+        crashes += 1
+        isUp = false
+        isStepping = false
+        lost.forEach { it.request.onLost() }
+    }
+
+    fun restart() {
+        isUp = true
+    }
+
+    /** False if the engine is full or down. */
     fun submit(request: EngineRequest): Boolean {
-        if (waiting.size >= figures.queueLimit) return false
+        if (!isUp || waiting.size >= figures.queueLimit) return false
         waiting += Running(request, remainingPrefill = 0, produced = 0, ownTokens = request.prompt.last().tokens)
         if (!isStepping) step()
         return true
     }
 
+    private fun dropExpired() {
+        val expired = (running + waiting).filter { it.request.deadlineMs <= loop.nowMs }
+        running -= expired.toSet()
+        waiting -= expired.toSet()
+        expired.forEach { it.request.onLost() }
+    }
+
     private fun step() {
+        dropExpired()
         admit()
         isStepping = running.isNotEmpty()
         if (!isStepping) return
@@ -87,7 +131,9 @@
                 durationMs += tokens * context / MILLION * figures.msPerMillionPairs
                 tokens > 0 && one.remainingPrefill == 0L
             }
+        val stepOfRun = crashes
         loop.after((durationMs * US_PER_MS).toLong()) {
+            if (stepOfRun != crashes) return@after
             prefilled.forEach(::remember)
             (decoding + prefilled).forEach { if (it in running) produce(it) }
             step()
@@ -107,12 +153,16 @@
         while (running.size < figures.slots && waiting.isNotEmpty()) {
             val next = waiting.first()
             next.remainingPrefill = uncachedTokens(next)
-            if (!makeRoom(next.remainingPrefill)) break
-            waiting.removeFirst()
+            next.uncachedSharedTokens = next.remainingPrefill - next.ownTokens
             running += next
+            if (!makeRoom()) {
+                running -= next
+                break
+            }
+            waiting.removeFirst()
         }
         // The running requests grow; the newest of the least urgent ones has to give way when nothing else can.
-        while (!makeRoom(0) && running.size > 1) {
+        while (!makeRoom() && running.size > 1) {
             val victim = running.withIndex().maxWith(compareBy({ it.value.request.priority }, { it.index })).value
             running -= victim
             waiting += victim
@@ -130,20 +180,32 @@
         return one.context - cached
     }
 
-    private fun remember(one: Running) =
+    private fun remember(one: Running) {
+        one.uncachedSharedTokens = 0
         one.request.prompt
             .dropLast(1)
             .forEach { cache[it.id] = it.tokens }
+    }
 
-    private fun makeRoom(tokens: Long): Boolean {
-        val used = running.sumOf { it.ownTokens }
-        val cached = cache.entries.iterator()
+    /** Evicts the least recently used parts that no running request uses, until the running requests have room. */
+    private fun makeRoom(): Boolean {
+        val usedTokens = running.sumOf { it.ownTokens + it.uncachedSharedTokens }
         var cachedTokens = cache.values.sum()
-        while (used + cachedTokens + tokens > figures.memoryTokens && cached.hasNext()) {
-            cachedTokens -= cached.next().value
+        if (usedTokens + cachedTokens <= figures.memoryTokens) return true
+        val pinned = HashSet<String>()
+        running.forEach { one ->
+            one.request.prompt
+                .dropLast(1)
+                .mapTo(pinned) { it.id }
+        }
+        val cached = cache.entries.iterator()
+        while (usedTokens + cachedTokens > figures.memoryTokens && cached.hasNext()) {
+            val part = cached.next()
+            if (part.key in pinned) continue
+            cachedTokens -= part.value
             cached.remove()
         }
-        return used + cachedTokens + tokens <= figures.memoryTokens
+        return usedTokens + cachedTokens <= figures.memoryTokens
     }
 
     private companion object {
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptLoad.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptLoad.kt
@@ -63,12 +63,13 @@
     val entry: Int,
 )
 
-/** The requests of [durationMs]. */
+/** The requests of [durationMs]; an event of a stream holds [tokensPerEvent]. */
 fun drawRequests(
     seed: Long,
     durationMs: Long,
     classes: List<PromptClass>,
     bursts: List<Burst>,
+    tokensPerEvent: Int,
 ): List<PromptRequest> {
     var lastId = 0L
     val eventGaps = classes.map { it.eventGapMs }
@@ -94,7 +95,7 @@
                     group,
                     atMs,
                     shared + own,
-                    events * TOKENS_PER_EVENT,
+                    events * tokensPerEvent,
                     random.nextInt(MOST_ENTRIES),
                 )
             }
@@ -143,7 +144,6 @@
 
 private const val SEED_STEP = 1_009L
 private const val SKEW = 0.3
-private const val TOKENS_PER_EVENT = 5
 private const val MOST_PER_SECOND = 400.0
 private const val MS_PER_S = 1_000
 private const val MOST_ENTRIES = 1_000_000
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptPolicy.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptPolicy.kt
@@ -7,6 +7,7 @@
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.placement.InstanceView
 import io.teaselspring.core.placement.LatencyGroup
+import io.teaselspring.core.placement.LoadEstimate
 import io.teaselspring.core.placement.PlacementCandidate
 import io.teaselspring.core.placement.PlacementPolicy
 import io.teaselspring.core.placement.PlacementRequest
@@ -22,14 +23,14 @@
 /** An engine as one entry sees it. */
 class EntryInstanceView(
     val engine: PromptEngine,
+    private val loop: EventLoop,
 ) : InstanceView {
     private val prefixCache = PrefixCacheEstimate()
+    private val estimate = LoadEstimate()
     override val id: InstanceId get() = engine.id
-    override val isEjected = false
+    override val isEjected get() = !engine.isUp
     override var pendingPrefillTokens = 0L
-
-    /** As last told with a response. */
-    override var load = 0.0
+    override val load: Double get() = estimate.requestsAt(loop.nowMs)
 
     override fun uncachedTokens(
         parts: List<PromptPart>,
@@ -38,6 +39,19 @@
 
     fun recordPrompt(parts: List<PromptPart>): Long =
         uncachedTokens(parts, isPreferred = true).also { prefixCache.recordPrompt(parts) }
+
+    fun requestStarted(uncachedTokens: Long) {
+        estimate.requestStarted()
+        pendingPrefillTokens += uncachedTokens
+    }
+
+    /** The response has begun; its head bears the load of the engine. */
+    fun prefillEnded(uncachedTokens: Long) {
+        pendingPrefillTokens -= uncachedTokens
+        estimate.record(engine.reportedLoad, loop.nowMs)
+    }
+
+    fun requestEnded() = estimate.requestEnded()
 }
 
 /** What an entry does with its requests: [send] passes one on, [refuse] gives it up. */
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenario.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenario.kt
@@ -6,7 +6,14 @@
 import io.teaselspring.core.InstanceId
 import io.teaselspring.experiment.EventLoop
 
-/** [engines] engines behind [entries] entries. */
+/** The first [count] engines crash at [atMs] and are back, empty, after [forMs]. */
+data class Crash(
+    val count: Int,
+    val atMs: Long,
+    val forMs: Long,
+)
+
+/** [engines] engines behind [entries] entries. Callers send a refused request once more if [callersReturn]. */
 class PromptScenario(
     val name: String,
     val description: String,
@@ -16,6 +23,8 @@
     val bursts: List<Burst> = emptyList(),
     val entries: Int = 5,
     val durationMs: Long = 34_000,
+    val crashes: List<Crash> = emptyList(),
+    val callersReturn: Boolean = false,
     val policies: List<PromptPolicy> = listOf(queuePolicy(), prefixHash, leastLoaded),
 )
 
@@ -27,6 +36,7 @@
     private var lastMs = 0L
     private var longestEventGapMs = 0L
     var isRefused = false
+    var refusals = 0
     var isWhole = false
         private set
 
@@ -63,6 +73,7 @@
     val refused: Int,
     val readTokens: Long,
     val preempted: Int,
+    val outcomes: List<PromptOutcome>,
 ) {
     val totalWorth: Double get() = worth.getValue(TOTAL)
 
@@ -78,47 +89,80 @@
 ): PromptFigures {
     val loop = EventLoop()
     val fleet = List(engines) { PromptEngine(InstanceId("engine-$it"), loop, figures) }
-    val outcomes = drawRequests(seed, durationMs, classes, bursts).map(::PromptOutcome)
+    val outcomes = drawRequests(seed, durationMs, classes, bursts, figures.tokensPerEvent).map(::PromptOutcome)
     val byRequest = outcomes.associateBy { it.request.id }
     val routers = ArrayList<PromptRouter>()
+
+    fun refuse(outcome: PromptOutcome) {
+        outcome.isRefused = true
+        outcome.refusals += 1
+        if (!callersReturn || outcome.refusals > 1) return
+        loop.after(RETURN_AFTER_MS * US_PER_MS) {
+            outcome.isRefused = false
+            routers[(outcome.request.entry + 1) % entries].submit(outcome.request)
+        }
+    }
     repeat(entries) { number ->
         val send = { request: PromptRequest, engine: EntryInstanceView, uncached: Long ->
-            offer(loop, byRequest.getValue(request.id), engine, uncached) { routers[number].changed() }
+            val outcome = byRequest.getValue(request.id)
+            val isAccepted = offer(loop, outcome, engine, uncached) { routers[number].changed() }
+            if (!isAccepted) refuse(outcome)
         }
-        val actions = EntryActions(send) { byRequest.getValue(it.id).isRefused = true }
-        routers += policy.router(loop, fleet.map(::EntryInstanceView), entries, actions)
+        val actions = EntryActions(send) { refuse(byRequest.getValue(it.id)) }
+        routers += policy.router(loop, fleet.map { EntryInstanceView(it, loop) }, entries, actions)
     }
     outcomes.map { it.request }.forEach { request ->
         loop.at(request.arrivedMs) { routers[request.entry % entries].submit(request) }
     }
+    crashes.forEach { crash ->
+        loop.at(crash.atMs) { fleet.take(crash.count).forEach { it.crash() } }
+        loop.at(crash.atMs + crash.forMs) { fleet.take(crash.count).forEach { it.restart() } }
+    }
     loop.runUntil(durationMs + classes.maxOf { it.deadlineMs })
     return figuresOf(policy, outcomes, fleet)
 }
 
+/** Returns false if the engine did not accept the request. */
 private fun offer(
     loop: EventLoop,
     outcome: PromptOutcome,
     engine: EntryInstanceView,
     uncachedTokens: Long,
     prefillDone: () -> Unit,
-) {
-    engine.pendingPrefillTokens += uncachedTokens
-    var hasBegun = false
+): Boolean {
+    engine.requestStarted(uncachedTokens)
+    var isPrefilling = true
+
+    fun endPrefill() {
+        if (!isPrefilling) return
+        isPrefilling = false
+        engine.prefillEnded(uncachedTokens)
+    }
+
+    fun end() {
+        endPrefill()
+        engine.requestEnded()
+        prefillDone()
+    }
     val request = outcome.request
     val engineRequest =
-        EngineRequest(request.prompt, request.outputTokens, request.profile.priority) { isLast ->
+        EngineRequest(
+            request.prompt,
+            request.outputTokens,
+            request.profile.priority,
+            request.arrivedMs + request.profile.deadlineMs,
+            onLost = ::end,
+        ) { isLast ->
             outcome.event(loop.nowMs, isLast)
-            engine.load = engine.engine.load.toDouble()
-            if (!hasBegun) {
-                hasBegun = true
-                engine.pendingPrefillTokens -= uncachedTokens
+            if (isPrefilling) {
+                endPrefill()
                 prefillDone()
             }
+            if (isLast) end()
         }
-    if (!engine.engine.submit(engineRequest)) {
-        engine.pendingPrefillTokens -= uncachedTokens
-        outcome.isRefused = true
-    }
+    val isAccepted = engine.engine.submit(engineRequest)
+    if (!isAccepted) end()
+    return isAccepted
 }
 
 private fun figuresOf(
@@ -135,6 +179,7 @@
         outcomes.count { it.isRefused },
         fleet.sumOf { it.readTokens },
         fleet.sumOf { it.preempted },
+        outcomes,
     )
 }
 
@@ -142,6 +187,8 @@
     outcomes.sumOf { it.earned } / outcomes.sumOf { it.request.profile.worth }
 
 private const val WINDOW_MS = 2_000L
+private const val RETURN_AFTER_MS = 450L
+private const val US_PER_MS = 1_000L
 
 /** A table of all policies on the requests of [seed]. */
 fun PromptScenario.report(seed: Long): String =
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenarios.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenarios.kt
@@ -6,10 +6,11 @@
 private fun guides(
     name: String,
     perSecond: Double,
+    subjects: Int = 169,
 ) = PromptClass(
     name,
     perSecond,
-    listOf(SharedPart(subjects = 169, Size(13_300.0, 0.7, 39_900.0))),
+    listOf(SharedPart(subjects, Size(13_300.0, 0.7, 39_900.0))),
     ownTokens = Size(3_720.0, 1.1, 53_200.0),
     events = Size(23.9, 1.4, 95.8),
     targetMs = 1_500,
@@ -80,6 +81,14 @@
         greetings("question", rates.short, subjects = 295),
     )
 
+/** The association after it has grown to several times the engines and subjects. */
+private fun grownAssociation(rates: Rates) =
+    listOf(
+        guides("dossier", rates.long, subjects = 357).copy(events = Size(20.0, 1.4, 79.8), eventGapMs = 1_000),
+        questions("draft", rates.middle, subjects = 269).copy(events = Size(8.7, 1.4, 34.7), eventGapMs = 400),
+        greetings("question", rates.short, subjects = 624).copy(events = Size(28.7, 0.89, 100.0), eventGapMs = 250),
+    )
+
 /** Two bursts of long prompts and one of short ones. */
 private fun bursts(
     long: String,
@@ -131,4 +140,19 @@
             bursts("dossier", "question"),
             durationMs = HIGH_LOAD_MS,
         ),
+        PromptScenario(
+            "prompts-burst-many-entries",
+            "27 engines behind 21 entries, bursts of dossiers and questions, a quarter of the engines crashes",
+            engines = 27,
+            EngineFigures(memoryTokens = 604_170, tokensPerEvent = 6),
+            grownAssociation(Rates(50.0, 29.0, 67.0)),
+            listOf(
+                Burst("dossier", 2.56, fromMs = 500, forMs = 9_000),
+                Burst("question", 2.43, fromMs = 11_000, forMs = 5_000),
+                Burst("dossier", 2.3, fromMs = 17_500, forMs = 3_500),
+            ),
+            entries = 21,
+            crashes = listOf(Crash(count = 7, atMs = 9_500, forMs = 2_000)),
+            callersReturn = true,
+        ),
     )
