Bound the memory of running requests on an instance over all entries

Cause: an entry bounded its own pending prefill tokens on an instance, with room for one request whenever it had none pending. With n entries that is n requests at a time, and nothing bounded what runs after its first token. While prompts are pending each step takes the time of a chunk more, so streams stay for seconds; their memory evicts shared parts, which are then prefilled again: an overload that sustains itself after the burst (metastable failure). Class of fault: a limit on local knowledge with a minimum per entry, which grows with the number of entries.

Evidence: BurstRecoveryTest plays the same load on the same engines; 5 entries recover, 20 and 100 don't.

Change: an instance has room only while the prompts of all requests in progress there, own and reported, take at most a quarter of its memory, which each entry reads once from the engine. An old report no longer fades to an idle instance but to the mean of the newer reports of its group, so that many entries that each hear rarely keep to one bound. A request spills over only to an instance with much room, since spilling prefills the shared parts again.

Why it holds at any number of entries: each report restarts the decay, so n entries exceed the bound by a factor of about exp(n / (2 s x requests per second of the group)), whatever each of them sends.

A test of RequestQueueTest that set the estimated load of an engine now has the engine report it.

--- a/core/src/main/kotlin/io/teaselspring/core/placement/KnownLoad.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/KnownLoad.kt
@@ -1,6 +1,7 @@
 /*
- * Load of an instance as one entry knows it: its own requests, and those of other entries as the instance reported them
- * with its last response.
+ * Load of the instances of an upstream as one entry knows it: its own requests exactly, and those of other entries as
+ * the instances reported them with their last responses. An entry among many hears from each instance rarely, so an old
+ * report gives way to the mean of the newer reports of similar instances.
  */
 package io.teaselspring.core.placement
 
@@ -13,24 +14,35 @@
     val slots: Int,
 )
 
-/** This entry's estimate of the running and waiting requests on one instance. Times are monotonic milliseconds. */
-public class LoadEstimate {
+/** What one entry knows of the requests on one instance. Times are monotonic milliseconds. */
+public class KnownLoad {
     /** Requests of this entry that run or wait on the instance. */
     public var ownRequests: Int = 0
         private set
 
+    /** Prompt tokens of [ownRequests]. */
+    public var ownTokens: Long = 0
+        private set
+
     /** The newest report that this entry has received. */
     public var lastReport: ReportedLoad? = null
         private set
     private var reportedAtMs = 0L
-    private var othersAtReport = 0.0
 
-    public fun requestStarted() {
+    /** Requests of other entries at the time of [lastReport]. */
+    internal var otherRequests = 0
+        private set
+
+    /** Records that this entry has sent a request with [promptTokens]. */
+    public fun requestStarted(promptTokens: Long) {
         ownRequests += 1
+        ownTokens += promptTokens
     }
 
-    public fun requestEnded() {
+    /** Records that a request with [promptTokens] has ended. */
+    public fun requestEnded(promptTokens: Long) {
         ownRequests -= 1
+        ownTokens -= promptTokens
     }
 
     /** Records a [report] that arrived at [nowMs]. */
@@ -38,7 +50,7 @@
         report: ReportedLoad,
         nowMs: Long,
     ) {
-        othersAtReport = maxOf(0, report.running + report.waiting - ownRequests).toDouble()
+        otherRequests = maxOf(0, report.running + report.waiting - ownRequests)
         reportedAtMs = nowMs
         lastReport = report
     }
@@ -46,13 +58,40 @@
     /** The age of [lastReport] at [nowMs]. */
     public fun reportAgeMs(nowMs: Long): Long? = lastReport?.let { nowMs - reportedAtMs }
 
-    /** The estimate at [nowMs]. */
-    public fun requestsAt(nowMs: Long): Double = ownRequests + othersAt(nowMs)
+    /** This entry's estimate of all requests on the instance at [nowMs], from its reports alone. */
+    public fun requestsAt(nowMs: Long): Double = ownRequests + otherRequests * weightAt(nowMs)
 
-    /** The load of other entries changes within seconds, so an old report counts less and less. */
-    private fun othersAt(nowMs: Long): Double = othersAtReport * exp((reportedAtMs - nowMs) / REPORT_DECAY_MS)
+    /** Weight of [lastReport], 1 when it is new: the load of other entries changes within seconds. */
+    internal fun weightAt(nowMs: Long): Double =
+        if (lastReport == null) 0.0 else exp((reportedAtMs - nowMs) / REPORT_DECAY_MS)
 
     private companion object {
         const val REPORT_DECAY_MS = 2_000.0
     }
 }
+
+/**
+ * Estimates the requests of other entries on [instances], which serve the same kind of requests, at [nowMs]. An old
+ * report gives way to the mean of newer ones. While no instance reports, all reports count less and less: an entry that
+ * sends nothing hears nothing, so it has to try again.
+ */
+internal class OtherEntriesLoad(
+    instances: List<KnownLoad>,
+    private val nowMs: Long,
+) {
+    private val decayedMean: Double
+
+    init {
+        val weights = instances.map { it.weightAt(nowMs) }
+        val total = weights.sum()
+        val newest = weights.maxOrNull() ?: 0.0
+        val weighted = instances.zip(weights) { instance, weight -> weight * instance.otherRequests }.sum()
+        decayedMean = if (total > 0) weighted / total * newest else 0.0
+    }
+
+    /** Requests of other entries on the instance with [load]. */
+    fun requestsOn(load: KnownLoad): Double {
+        val weight = load.weightAt(nowMs)
+        return weight * load.otherRequests + (1 - weight) * decayedMean
+    }
+}
--- a/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
@@ -1,9 +1,10 @@
 /*
- * Priority queue of an entry for requests with a prompt, with a window of prefill tokens for each instance and
- * prefix-cache affinity. Each instance is sent only as many uncached prompt tokens as it can prefill soon. Other
- * requests wait here in order of priority, where the crash of an instance doesn't lose them. A request goes to its
- * preferred instance, whose prefix cache holds its shared part, and to another one only when a second prefill of that
- * part costs less than the wait. A request that has waited too long is refused.
+ * Priority queue of an entry for requests with a prompt, with a window of prefill tokens for each instance, a bound on
+ * the memory of running requests, and prefix-cache affinity. Each instance is sent only as many uncached prompt tokens
+ * as it can prefill soon, and only as many requests as leave room for its prefix cache. Other requests wait here in
+ * order of priority, where the crash of an instance doesn't lose them. A request goes to its preferred instance, whose
+ * prefix cache holds its shared part, and to another one only when a second prefill of that part costs less than the
+ * wait. A request that has waited too long is refused.
  */
 package io.teaselspring.core.placement
 
@@ -28,15 +29,24 @@
     val arrivedMs: Long,
     val lateAfterMs: Long,
     val refuseAfterMs: Long,
-)
+) {
+    internal val promptTokens: Long = parts.sumOf { it.tokens }
+
+    /** The longest part of the prompt that other requests share, which decides on the preferred instance. */
+    internal val affinityPart: String =
+        (if (parts.size > 1) parts[parts.size - 2] else parts.firstOrNull())?.id.orEmpty()
+}
 
 /** State of an instance that the queue reads. An ejected instance is used only while all are ejected. */
 public interface InstanceView {
     public val id: InstanceId
     public val isEjected: Boolean
 
-    /** This entry's estimate of the running and waiting requests of all entries on the instance. */
-    public val load: Double
+    /** What this entry knows of the requests on the instance. */
+    public val load: KnownLoad
+
+    /** Tokens that the instance can keep of running requests and cached parts, or null if unknown. */
+    public val memoryTokens: Long?
 
     /** Prompt tokens of the requests that this entry has sent and that have not produced a first token yet. */
     public val pendingPrefillTokens: Long
@@ -68,19 +78,26 @@
 }
 
 /**
- * Thresholds of the queue. An instance has room for a request if this entry has no pending prefill tokens there, or if
- * these and the uncached tokens of the request stay within this entry's share of [windowTokens], or of
- * [interactiveWindowTokens] for interactive requests. A request spills over to another instance when it has waited for
- * [spillAfterMs] and the other instance would prefill its prompt in less than [spillTimeRatio] of the time that the
- * preferred instance needs, on the assumption that all entries send the same load. An instance with a load of [maxLoad]
- * requests or more has no room.
+ * Thresholds of the queue. An instance has room for a request if both of these hold:
+ * - This entry has no pending prefill tokens there, or these and the uncached tokens of the request stay within this
+ *   entry's share of [windowTokens], or of [interactiveWindowTokens] for interactive requests.
+ * - The prompts of all running and waiting requests of all entries, as far as known, take at most
+ *   [runningMemoryFraction] of its memory. The rest keeps shared parts cached, and few running requests end soon.
+ *
+ * A request spills over to another instance when it has waited for [spillAfterMs] and the other instance would prefill
+ * its prompt in less than [spillTimeRatio] of the time that the preferred instance needs, on the assumption that all
+ * entries send the same load. It prefills the shared parts again, so it spills over only to an instance whose requests
+ * then take at most [spillMemoryFraction] of its memory. An instance with a load of [maxLoad] requests or more has no
+ * room.
  */
 public data class QueuePolicy(
     val windowTokens: Long = 50_000,
     val interactiveWindowTokens: Long = 20_000,
-    val spillAfterMs: Long = 1_500,
+    val spillAfterMs: Long = 500,
     val spillTimeRatio: Double = 0.3,
     val maxLoad: Double = 60.0,
+    val runningMemoryFraction: Double = 0.25,
+    val spillMemoryFraction: Double = 0.075,
 )
 
 /** The queue of one entry; [entries] returns the number of entries. Not thread-safe. */
@@ -90,11 +107,16 @@
 ) {
     private val waiting = ArrayList<QueuedRequest>()
 
+    /** Moving averages of the tokens of a prompt. */
+    private val meanTokens = HashMap<LatencyGroup, Double>()
+
     /** Number of waiting requests. */
     public val size: Int get() = waiting.size
 
     public fun add(request: QueuedRequest) {
         waiting += request
+        val tokens = request.promptTokens.toDouble()
+        meanTokens.merge(request.group, tokens) { mean, _ -> mean + (tokens - mean) * MEAN_TOKENS_WEIGHT }
     }
 
     /** Removes the request [id], whose caller has disconnected. */
@@ -113,7 +135,7 @@
         groups: Int,
         onStart: (QueueDecision.Start) -> Unit,
     ): List<QueueDecision.Refuse> {
-        val partition = InstancePartition(instances, groups)
+        val partition = InstancePartition(instances, groups, policy, entries(), meanTokens, nowMs)
         // Within a priority, requests that can still meet their latency target precede those that can't.
         waiting.sortWith(compareBy({ it.priority }, { nowMs >= it.lateAfterMs }, { it.arrivedMs }))
         val refused = mutableListOf<QueueDecision.Refuse>()
@@ -121,7 +143,7 @@
         waiting.clear()
         for (request in remaining) {
             val instance =
-                instanceFor(request, partition.instancesOf(request.group), nowMs) ?: partition.overflowFor(request)
+                instanceFor(request, partition.poolOf(request.group), nowMs) ?: partition.overflowFor(request)
             when {
                 instance != null -> onStart(QueueDecision.Start(request, instance.id))
                 nowMs >= request.refuseAfterMs -> refused += QueueDecision.Refuse(request)
@@ -133,62 +155,24 @@
 
     private fun instanceFor(
         request: QueuedRequest,
-        instances: List<InstanceView>,
+        pool: InstancePool,
         nowMs: Long,
     ): InstanceView? {
-        val preferred = preferredInstance(request, instances) ?: return null
+        val preferred = pool.instances.byAffinity(request) ?: return null
         val uncachedAtPreferred = preferred.uncachedTokens(request.parts, isPreferred = true)
-        if (preferred.hasRoom(uncachedAtPreferred, windowOf(request))) return preferred
+        if (pool.hasRoom(preferred, request, uncachedAtPreferred)) return preferred
         if (nowMs - request.arrivedMs < policy.spillAfterMs) return null
         val maxTokens = (preferred.pendingPrefillTokens * entries() + uncachedAtPreferred) * policy.spillTimeRatio
-        return instances
+        return pool.instances
             .filter { it !== preferred }
-            .map { it to it.uncachedTokens(request.parts, isPreferred = false) }
-            .filter { (instance, uncached) ->
-                instance.hasRoom(uncached, windowOf(request)) &&
-                    instance.pendingPrefillTokens * entries() + uncached < maxTokens
-            }.minByOrNull { (instance, uncached) -> instance.pendingPrefillTokens * entries() + uncached }
-            ?.first
+            .filter {
+                val uncached = it.uncachedTokens(request.parts, isPreferred = false)
+                it.pendingPrefillTokens * entries() + uncached < maxTokens &&
+                    pool.hasRoom(it, request, uncached, policy.spillMemoryFraction)
+            }.byAffinity(request)
     }
 
-    private fun preferredInstance(
-        request: QueuedRequest,
-        instances: List<InstanceView>,
-    ): InstanceView? {
-        val parts = request.parts
-        val part = (if (parts.size > 1) parts[parts.size - 2] else parts.firstOrNull())?.id
-        return instances.maxByOrNull { rendezvousWeight(part.orEmpty(), it.id) }
-    }
-
-    /** This entry's share of the window of an instance, in tokens. */
-    private fun windowOf(request: QueuedRequest) =
-        (if (request.group.isInteractive) policy.interactiveWindowTokens else policy.windowTokens) / entries()
-
-    private fun InstanceView.hasRoom(
-        uncached: Long,
-        windowTokens: Long,
-    ) = load < policy.maxLoad && (pendingPrefillTokens == 0L || pendingPrefillTokens + uncached <= windowTokens)
-
-    private inner class InstancePartition(
-        instances: List<InstanceView>,
-        groups: Int,
-    ) {
-        private val healthy = instances.filter { !it.isEjected }.ifEmpty { instances }
-        private val groupByInstance = partitionInstances(instances.map { it.id }, groups)
-
-        fun instancesOf(group: LatencyGroup): List<InstanceView> =
-            instancesFor(group, healthy, groupByInstance) { it.id }
-
-        /**
-         * The first instance of another group that has room for an interactive request, or null. Interactive requests
-         * overflow to other groups because they can't wait long.
-         */
-        fun overflowFor(request: QueuedRequest): InstanceView? {
-            if (!request.group.isInteractive || groupByInstance.isEmpty()) return null
-            return healthy
-                .filter { groupByInstance[it.id] != request.group.index }
-                .filter { it.hasRoom(it.uncachedTokens(request.parts, isPreferred = false), windowOf(request)) }
-                .maxByOrNull { partitionWeight(it.id) }
-        }
+    private companion object {
+        const val MEAN_TOKENS_WEIGHT = 0.05
     }
 }
--- a/core/src/test/kotlin/io/teaselspring/core/placement/RequestQueueTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/placement/RequestQueueTest.kt
@@ -16,10 +16,11 @@
 private class TestEngine(
     name: String,
     override var pendingPrefillTokens: Long = 0,
-    override var load: Double = 0.0,
     override var isEjected: Boolean = false,
+    override val memoryTokens: Long? = null,
 ) : InstanceView {
     override val id = InstanceId(name)
+    override val load = KnownLoad()
     val cachedParts = HashSet<String>()
 
     override fun uncachedTokens(
@@ -185,12 +186,55 @@
         }
 
         test("an engine at its maximum load is sent no more requests") {
-            val all = listOf(TestEngine("engine-1", load = 64.0))
+            val all = listOf(TestEngine("engine-1").apply { load.record(ReportedLoad(60, 4, slots = 64), nowMs = 0) })
             val queue = RequestQueue(smallWindows) { ENTRIES }
             queue.add(queuedRequest("coast"))
             queue.dispatchAll(0, all).first.shouldBeEmpty()
         }
 
+        test("an engine is sent no request that would take memory from its prefix cache, unless it is idle") {
+            val all = listOf(TestEngine("engine-1", memoryTokens = 100_000))
+            val queue = RequestQueue(QueuePolicy(runningMemoryFraction = 0.25)) { ENTRIES }
+
+            fun startOne() = queue.dispatchAll(0, all).first.size
+            repeat(2) { queue.add(queuedRequest("coast")) }
+            startOne() shouldBe 1
+            all.single().load.requestStarted(promptTokens = 17_000)
+            all.single().pendingPrefillTokens = 0
+            startOne() shouldBe 0
+            all.single().load.requestEnded(promptTokens = 17_000)
+            startOne() shouldBe 1
+        }
+
+        test("the requests of other entries count as memory in use") {
+            val all = listOf(TestEngine("engine-1", memoryTokens = 200_000))
+            val queue = RequestQueue(QueuePolicy(runningMemoryFraction = 0.25)) { ENTRIES }
+            queue.add(queuedRequest("coast"))
+            all.single().load.record(ReportedLoad(running = 2, waiting = 0, slots = 64), nowMs = 0)
+            queue.dispatchAll(0, all).first.shouldBeEmpty()
+        }
+
+        test(
+            "a request without room in its group goes to a group with longer event gaps, not to one with shorter ones",
+        ) {
+            val all = engines(8)
+            val groups = partitionInstances(all.map { it.id }, groups = 3)
+            val queue = RequestQueue { ENTRIES }
+            val middle = LatencyGroup(1, 3)
+            all.filter { groups[it.id] != 2 }.forEach { it.pendingPrefillTokens = 60_000 }
+            queue.add(queuedRequest("coast", priority = 1, group = middle))
+            val instance =
+                queue
+                    .dispatchAll(0, all, groups = 3)
+                    .first
+                    .single()
+                    .instance
+            groups[instance] shouldBe 2
+            all.forEach { it.pendingPrefillTokens = if (groups[it.id] == 2) 60_000 else 0 }
+            queue.add(queuedRequest("coast", group = LatencyGroup(2, 3)))
+            queue.dispatchAll(0, all, groups = 3).first.shouldBeEmpty()
+        }
+
         test("a burst of requests with one shared part stays on one engine") {
             val all = engines(8)
             val queue = RequestQueue { ENTRIES }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
@@ -43,8 +43,9 @@
     val recordRequest: (OrganisationId) -> Unit,
     val entryCount: () -> Int,
     val randomBelow: (Int) -> Int,
+    readMemory: (UpstreamInstance) -> Unit,
 ) {
-    val queues = StreamQueues(loop, nowMs, instances, entryCount)
+    val queues = StreamQueues(loop, nowMs, instances, entryCount, readMemory)
     private val budgets = HashMap<UpstreamName, RetryBudget>()
 
     /** The graceful drain, once it has begun; responses then carry `Connection: close`. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
@@ -3,6 +3,7 @@
  */
 package io.teaselspring.daemon.gateway
 
+import arrow.core.Either
 import io.netty.channel.EventLoop
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
@@ -14,6 +15,7 @@
 import io.teaselspring.core.routing.RoutingConfig
 import io.teaselspring.daemon.Running
 import io.teaselspring.daemon.http.HttpConnections
+import io.teaselspring.ports.PlatformError
 import io.teaselspring.ports.TableStore
 import io.teaselspring.ports.UsageIntake
 import io.teaselspring.ports.WatchedTable
@@ -35,13 +37,20 @@
     val readyPath: String,
 )
 
-/** Interfaces to the platform. [storeClock] estimates the store's clock from its responses. */
+/** Reads the tokens that the model engine at an address, "IP:port", keeps of running requests and cached parts. */
+typealias ReadMemory = suspend (address: String) -> Either<PlatformError, Long>
+
+/**
+ * Interfaces to the platform. [storeClock] estimates the store's clock from its responses. Without [readMemory] the
+ * queue does not bound the memory of running requests.
+ */
 class GatewayPlatform(
     val table: TableStore,
     val config: WatchedTable<RoutingConfig>,
     val instances: WatchedTable<RegisteredInstance>,
     val usage: UsageIntake?,
     val storeClock: StoreClock,
+    val readMemory: ReadMemory? = null,
 )
 
 /**
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -68,6 +68,7 @@
             usage::recordRequest,
             entryCount::value,
             Random.Default::nextInt,
+            InstanceMemory(scope, runtime.nowMs, platform.readMemory)::read,
         )
     private val callers =
         CallerConnections(
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -31,12 +31,16 @@
     }
 }
 
-/** An attempt of [authorised] on [instance]; reports its result to [execution]. */
+/**
+ * An attempt of [authorised] on [instance], which is expected to prefill [prefillTokens] of the [promptTokens]. Reports
+ * its result to [execution].
+ */
 internal class InstanceAttempt(
     private val gateway: Gateway,
     private val execution: RequestExecution,
     private val authorised: AuthorisedRequest,
     private val instance: UpstreamInstance,
+    private val promptTokens: Long,
     private val prefillTokens: Long,
 ) : ExchangeListener {
     private val names = gateway.settings.headers
@@ -54,7 +58,7 @@
         afterEventId: String?,
     ) {
         val now = gateway.nowMs()
-        instance.requestStarted(now)
+        instance.requestStarted(promptTokens, now)
         instance.pendingPrefillTokens += prefillTokens
         val outgoing =
             OutgoingRequest(
@@ -211,7 +215,7 @@
         if (isFinished) return
         isFinished = true
         if (isPrefilling) finishPrefill()
-        instance.requestEnded()
+        instance.requestEnded(promptTokens)
     }
 
     private fun parseLoad(header: String?): ReportedLoad? {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -146,7 +146,7 @@
         gateway.logDispatch(requestId, authorised, instance, uncachedTokens, waitedMs)
         attempted += instance.registered.id
         attempt =
-            InstanceAttempt(gateway, this, authorised, instance, uncachedTokens).also {
+            InstanceAttempt(gateway, this, authorised, instance, prompt.sumOf { it.tokens }, uncachedTokens).also {
                 it.start(request, deadlineMs, framer?.lastEventId)
             }
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
@@ -8,6 +8,7 @@
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.UpstreamName
 import io.teaselspring.core.placement.InstanceView
+import io.teaselspring.core.placement.KnownLoad
 import io.teaselspring.core.placement.PromptPart
 import io.teaselspring.core.placement.QueuedRequest
 import io.teaselspring.core.placement.RequestQueue
@@ -31,6 +32,7 @@
     private val nowMs: () -> Long,
     private val instances: UpstreamInstances,
     private val entryCount: () -> Int,
+    private val readMemory: (UpstreamInstance) -> Unit,
 ) {
     private val queues = HashMap<UpstreamName, UpstreamQueue>()
     private var lastId = 0L
@@ -86,6 +88,7 @@
                 queue.dispatch(now, views.values.toList(), groupCount) { start ->
                     val view = views.getValue(start.instance)
                     val uncached = view.recordPrompt(start.request.parts)
+                    if (view.memoryTokens == null) readMemory(view.instance)
                     requests.remove(start.request.id)?.onDispatched(view.instance, uncached)
                 }
             expired.forEach { requests.remove(it.request.id)?.onQueueTimeout() }
@@ -119,7 +122,8 @@
     private val candidate = instance.candidate(nowMs, STREAM_STALL_MS)
     override val id: InstanceId get() = candidate.id
     override val isEjected: Boolean get() = candidate.isEjected
-    override val load: Double get() = candidate.load
+    override val load: KnownLoad get() = instance.load
+    override val memoryTokens: Long? get() = instance.memoryTokens
     override val pendingPrefillTokens: Long get() = instance.pendingPrefillTokens
 
     override fun uncachedTokens(
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -6,7 +6,7 @@
 
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.UpstreamName
-import io.teaselspring.core.placement.LoadEstimate
+import io.teaselspring.core.placement.KnownLoad
 import io.teaselspring.core.placement.PlacementCandidate
 import io.teaselspring.core.placement.PrefixCacheEstimate
 import io.teaselspring.core.registry.InstanceRegistry
@@ -25,8 +25,11 @@
 ) {
     var registered = registered
         private set
-    val load = LoadEstimate()
+    val load = KnownLoad()
     var pendingPrefillTokens = 0L
+
+    /** Tokens that a model engine keeps of running requests and cached parts, once [InstanceMemory] has read it. */
+    var memoryTokens: Long? = null
     private var lastActivityMs = 0L
     private var failures = 0
     private var ejectedUntilMs = 0L
@@ -37,12 +40,15 @@
         registered = row
     }
 
-    fun requestStarted(nowMs: Long) {
+    fun requestStarted(
+        promptTokens: Long,
+        nowMs: Long,
+    ) {
         if (load.ownRequests == 0) lastActivityMs = nowMs
-        load.requestStarted()
+        load.requestStarted(promptTokens)
     }
 
-    fun requestEnded() = load.requestEnded()
+    fun requestEnded(promptTokens: Long) = load.requestEnded(promptTokens)
 
     fun recordActivity(nowMs: Long) {
         lastActivityMs = nowMs
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptPolicy.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptPolicy.kt
@@ -6,8 +6,8 @@
 import io.teaselspring.core.DataCentre
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.placement.InstanceView
+import io.teaselspring.core.placement.KnownLoad
 import io.teaselspring.core.placement.LatencyGroup
-import io.teaselspring.core.placement.LoadEstimate
 import io.teaselspring.core.placement.PlacementCandidate
 import io.teaselspring.core.placement.PlacementPolicy
 import io.teaselspring.core.placement.PlacementRequest
@@ -26,11 +26,11 @@
     private val loop: EventLoop,
 ) : InstanceView {
     private val prefixCache = PrefixCacheEstimate()
-    private val estimate = LoadEstimate()
+    override val load = KnownLoad()
     override val id: InstanceId get() = engine.id
     override val isEjected get() = !engine.isUp
     override var pendingPrefillTokens = 0L
-    override val load: Double get() = estimate.requestsAt(loop.nowMs)
+    override val memoryTokens: Long get() = engine.memoryTokens
 
     override fun uncachedTokens(
         parts: List<PromptPart>,
@@ -40,18 +40,21 @@
     fun recordPrompt(parts: List<PromptPart>): Long =
         uncachedTokens(parts, isPreferred = true).also { prefixCache.recordPrompt(parts) }
 
-    fun requestStarted(uncachedTokens: Long) {
-        estimate.requestStarted()
+    fun requestStarted(
+        promptTokens: Long,
+        uncachedTokens: Long,
+    ) {
+        load.requestStarted(promptTokens)
         pendingPrefillTokens += uncachedTokens
     }
 
     /** The response has begun; its head bears the load of the engine. */
     fun prefillEnded(uncachedTokens: Long) {
         pendingPrefillTokens -= uncachedTokens
-        estimate.record(engine.reportedLoad, loop.nowMs)
+        load.record(engine.reportedLoad, loop.nowMs)
     }
 
-    fun requestEnded() = estimate.requestEnded()
+    fun requestEnded(promptTokens: Long) = load.requestEnded(promptTokens)
 }
 
 /** What an entry does with its requests: [send] passes one on, [refuse] gives it up. */
@@ -134,6 +137,7 @@
 }
 
 private class ImmediateRouter(
+    private val loop: EventLoop,
     private val engines: List<EntryInstanceView>,
     private val actions: EntryActions,
     private val random: Random,
@@ -141,7 +145,16 @@
 ) : PromptRouter {
     override fun submit(request: PromptRequest) {
         val candidates =
-            engines.map { PlacementCandidate(it.id, HOME, SLOTS, it.load, it.pendingPrefillTokens, isEjected = false) }
+            engines.map {
+                PlacementCandidate(
+                    it.id,
+                    HOME,
+                    SLOTS,
+                    it.load.requestsAt(loop.nowMs),
+                    it.pendingPrefillTokens,
+                    isEjected = false,
+                )
+            }
         val placement = PlacementRequest(partOf(request), LatencyGroup.ONLY, HOME)
         val chosen = checkNotNull(chooseInstance(candidates, placement, emptySet(), random::nextInt, NEVER_SPILL))
         val engine = engines.single { it.id == chosen.id }
@@ -165,10 +178,14 @@
 
 /** The engine by the hash of the longest shared part, whatever its load. */
 val prefixHash =
-    PromptPolicy("prefix hash") { _, engines, _, actions ->
-        ImmediateRouter(engines, actions, Random(1)) { request -> request.prompt[request.prompt.size - 2].id }
+    PromptPolicy("prefix hash") { loop, engines, _, actions ->
+        ImmediateRouter(loop, engines, actions, Random(1)) { request -> request.prompt[request.prompt.size - 2].id }
     }
 
 /** The engine with the least work as far as known. */
 val leastLoaded =
-    PromptPolicy("least loaded") { _, engines, _, actions -> ImmediateRouter(engines, actions, Random(1)) { null } }
+    PromptPolicy("least loaded") { loop, engines, _, actions ->
+        ImmediateRouter(loop, engines, actions, Random(1)) {
+            null
+        }
+    }
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenario.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenario.kt
@@ -130,7 +130,9 @@
     uncachedTokens: Long,
     prefillDone: () -> Unit,
 ): Boolean {
-    engine.requestStarted(uncachedTokens)
+    val request = outcome.request
+    val promptTokens = request.prompt.sumOf { it.tokens }
+    engine.requestStarted(promptTokens, uncachedTokens)
     var isPrefilling = true
 
     fun endPrefill() {
@@ -141,10 +143,9 @@
 
     fun end() {
         endPrefill()
-        engine.requestEnded()
+        engine.requestEnded(promptTokens)
         prefillDone()
     }
-    val request = outcome.request
     val engineRequest =
         EngineRequest(
             request.prompt,
