Count the pending prefill of all entries against the window of an instance

An entry's share of the window has a minimum of one request per instance, so that 21 entries may have 21 prompts pending on each.

Change: an entry assumes that the others have as many pending tokens as it has on average, a quarter of them on the same instance and the rest spread over the latency group; both together must fit the window, now 30,000 tokens for all entries. The share of the window stays as a bound on simultaneous requests. The average covers more time with more entries, as each of them has fewer requests. Spilling compares the same estimate in place of the entry's own tokens times the number of entries, which at 21 entries made nearly any other instance look faster.

--- a/core/src/main/kotlin/io/teaselspring/core/placement/InstancePool.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/InstancePool.kt
@@ -4,16 +4,31 @@
  */
 package io.teaselspring.core.placement
 
-/** The [instances] of [group]. [meanTokens] are means of the tokens of a prompt. */
+/**
+ * The [instances] of [group]. [meanTokens] are means of the tokens of a prompt. The other of [entries] are assumed to
+ * have as many pending prefill tokens on these instances as this entry has on average.
+ */
 internal class InstancePool(
     val instances: List<InstanceView>,
     private val group: LatencyGroup,
     private val policy: QueuePolicy,
     private val entries: Int,
     private val meanTokens: Map<LatencyGroup, Double>,
+    averages: PendingAverages,
     nowMs: Long,
 ) {
+    private val windowTokens = if (group.isLast) policy.windowTokens else policy.interactiveWindowTokens
     private val otherEntries = OtherEntriesLoad(instances.map { it.load }, nowMs)
+    private val pendingAverages =
+        instances.associate { it.id to averages.update(it.id, it.pendingPrefillTokens, entries, nowMs) }
+    private val meanPendingAverage = pendingAverages.values.sum() / maxOf(1, instances.size)
+
+    /** Estimate of the pending prefill tokens of all entries on [instance]. */
+    fun pendingTokensOn(instance: InstanceView): Double {
+        val ownAverage = pendingAverages.getValue(instance.id)
+        val average = SAME_INSTANCE_WEIGHT * ownAverage + (1 - SAME_INSTANCE_WEIGHT) * meanPendingAverage
+        return instance.pendingPrefillTokens + (entries - 1) * average
+    }
 
     /**
      * Whether [instance] has room for [request], with [uncachedTokens] to prefill, while running requests take at most
@@ -26,18 +41,44 @@
         memoryFraction: Double = policy.runningMemoryFraction,
     ): Boolean {
         val others = otherEntries.requestsOn(instance.load)
-        val requests = instance.load.ownRequests + others
-        if (requests >= policy.maxLoad ||
-            !instance.hasPrefillRoom(request, uncachedTokens, policy, entries)
-        ) {
-            return false
-        }
+        return instance.load.ownRequests + others < policy.maxLoad &&
+            hasPrefillRoom(instance, uncachedTokens) &&
+            hasMemory(instance, request, others, memoryFraction)
+    }
+
+    private fun hasPrefillRoom(
+        instance: InstanceView,
+        uncachedTokens: Long,
+    ): Boolean {
+        val ownTokens = instance.pendingPrefillTokens
+        if (ownTokens > 0 && ownTokens + uncachedTokens > windowTokens / entries) return false
+        val pendingTokens = pendingTokensOn(instance)
+        return pendingTokens <= windowTokens * IDLE_WINDOW_FRACTION || pendingTokens + uncachedTokens <= windowTokens
+    }
+
+    private fun hasMemory(
+        instance: InstanceView,
+        request: QueuedRequest,
+        others: Double,
+        memoryFraction: Double,
+    ): Boolean {
         val memoryTokens = instance.memoryTokens ?: return true
         // An idle instance accepts a request of any size.
-        if (requests < 1) return true
+        if (instance.load.ownRequests + others < 1) return true
         val othersTokens = others * (meanTokens[group] ?: request.promptTokens.toDouble())
         return instance.load.ownTokens + othersTokens + request.promptTokens <= memoryTokens * memoryFraction
     }
+
+    private companion object {
+        /**
+         * Part of the requests of other entries that goes to the same instances as those of this entry, because they
+         * have popular shared parts. The others are spread over all instances.
+         */
+        const val SAME_INSTANCE_WEIGHT = 0.25
+
+        /** With less of its window pending, an instance accepts a prompt that is larger than the window. */
+        const val IDLE_WINDOW_FRACTION = 0.02
+    }
 }
 
 /** The pools of [instances] at [nowMs], by latency group. */
@@ -47,16 +88,20 @@
     private val policy: QueuePolicy,
     private val entries: Int,
     private val meanTokens: Map<LatencyGroup, Double>,
+    private val averages: PendingAverages,
     private val nowMs: Long,
 ) {
     private val healthy = instances.filter { !it.isEjected }.ifEmpty { instances }
     private val groupByInstance = partitionInstances(instances.map { it.id }, groups)
     private val pools = HashMap<LatencyGroup, InstancePool>()
 
+    /** Drops what was derived from the state of the instances; has to be called after a request has been started. */
+    fun invalidate() = pools.clear()
+
     fun poolOf(group: LatencyGroup): InstancePool =
         pools.getOrPut(group) {
             val members = instancesFor(group, healthy, groupByInstance) { it.id }
-            InstancePool(members, group, policy, entries, meanTokens, nowMs)
+            InstancePool(members, group, policy, entries, meanTokens, averages, nowMs)
         }
 
     /**
--- a/core/src/main/kotlin/io/teaselspring/core/placement/LatencyGroup.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/LatencyGroup.kt
@@ -19,6 +19,9 @@
     /** Whether other groups of the upstream allow longer event gaps than this one, and none allows shorter ones. */
     val isInteractive: Boolean get() = index == 0 && count > 1
 
+    /** Whether no other group of the upstream allows longer event gaps. */
+    internal val isLast: Boolean get() = index == count - 1
+
     public companion object {
         /** The only group of an upstream whose requests all allow the same event gap. */
         public val ONLY: LatencyGroup = LatencyGroup(0, 1)
--- a/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
@@ -79,19 +79,20 @@
 
 /**
  * Thresholds of the queue. An instance has room for a request if both of these hold:
- * - This entry has no pending prefill tokens there, or these and the uncached tokens of the request stay within this
- *   entry's share of [windowTokens], or of [interactiveWindowTokens] for interactive requests.
+ * - Its pending prefill tokens, this entry's and those assumed of all other entries, stay within [windowTokens] with
+ *   the uncached tokens of the request, and this entry's within its share of them, unless it has none pending there.
+ *   For all latency groups but the last, whose targets are shorter, [interactiveWindowTokens] applies. An instance with
+ *   hardly any pending tokens has room for a prompt of any size.
  * - The prompts of all running and waiting requests of all entries, as far as known, take at most
  *   [runningMemoryFraction] of its memory. The rest keeps shared parts cached, and few running requests end soon.
  *
  * A request spills over to another instance when it has waited for [spillAfterMs] and the other instance would prefill
- * its prompt in less than [spillTimeRatio] of the time that the preferred instance needs, on the assumption that all
- * entries send the same load. It prefills the shared parts again, so it spills over only to an instance whose requests
- * then take at most [spillMemoryFraction] of its memory. An instance with a load of [maxLoad] requests or more has no
- * room.
+ * its prompt in less than [spillTimeRatio] of the time that the preferred instance needs. It prefills the shared parts
+ * again, so it spills over only to an instance whose requests then take at most [spillMemoryFraction] of its memory. An
+ * instance with a load of [maxLoad] requests or more has no room.
  */
 public data class QueuePolicy(
-    val windowTokens: Long = 50_000,
+    val windowTokens: Long = 30_000,
     val interactiveWindowTokens: Long = 20_000,
     val spillAfterMs: Long = 500,
     val spillTimeRatio: Double = 0.3,
@@ -106,6 +107,7 @@
     private val entries: () -> Int,
 ) {
     private val waiting = ArrayList<QueuedRequest>()
+    private val pendingAverages = PendingAverages()
 
     /** Moving averages of the tokens of a prompt. */
     private val meanTokens = HashMap<LatencyGroup, Double>()
@@ -135,7 +137,8 @@
         groups: Int,
         onStart: (QueueDecision.Start) -> Unit,
     ): List<QueueDecision.Refuse> {
-        val partition = InstancePartition(instances, groups, policy, entries(), meanTokens, nowMs)
+        pendingAverages.retain(instances.mapTo(HashSet()) { it.id })
+        val partition = InstancePartition(instances, groups, policy, entries(), meanTokens, pendingAverages, nowMs)
         // Within a priority, requests that can still meet their latency target precede those that can't.
         waiting.sortWith(compareBy({ it.priority }, { nowMs >= it.lateAfterMs }, { it.arrivedMs }))
         val refused = mutableListOf<QueueDecision.Refuse>()
@@ -145,7 +148,10 @@
             val instance =
                 instanceFor(request, partition.poolOf(request.group), nowMs) ?: partition.overflowFor(request)
             when {
-                instance != null -> onStart(QueueDecision.Start(request, instance.id))
+                instance != null -> {
+                    onStart(QueueDecision.Start(request, instance.id))
+                    partition.invalidate()
+                }
                 nowMs >= request.refuseAfterMs -> refused += QueueDecision.Refuse(request)
                 else -> waiting += request
             }
@@ -162,12 +168,12 @@
         val uncachedAtPreferred = preferred.uncachedTokens(request.parts, isPreferred = true)
         if (pool.hasRoom(preferred, request, uncachedAtPreferred)) return preferred
         if (nowMs - request.arrivedMs < policy.spillAfterMs) return null
-        val maxTokens = (preferred.pendingPrefillTokens * entries() + uncachedAtPreferred) * policy.spillTimeRatio
+        val maxTokens = (pool.pendingTokensOn(preferred) + uncachedAtPreferred) * policy.spillTimeRatio
         return pool.instances
             .filter { it !== preferred }
             .filter {
                 val uncached = it.uncachedTokens(request.parts, isPreferred = false)
-                it.pendingPrefillTokens * entries() + uncached < maxTokens &&
+                pool.pendingTokensOn(it) + uncached < maxTokens &&
                     pool.hasRoom(it, request, uncached, policy.spillMemoryFraction)
             }.byAffinity(request)
     }
