Eject an instance when another process answers at its address

An instance that refuses at once looks idle, so it draws more requests than a working one.

Cause: a 421 was handled as any refusal. It counted as one of the route's attempts and did not eject the instance.

The attempt has not run and its instance is gone, so it does not count towards the route's attempts; the retry budget still applies. A request with a prompt goes back to the queue instead of past its bounds.

The new case of RequestExecutionTest calls 20 times with one such instance of two.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -152,7 +152,12 @@
                 val reason = "status ${response.status.code()}"
                 gateway.metrics.attempt(authorised.upstream.value, "not_run")
                 response.release()
-                execution.attemptNotRun(reason, sent = true, response.headers["Retry-After"])
+                if (response.status == HttpResponseStatus.MISDIRECTED_REQUEST) {
+                    instance.recordMisdirected(gateway.nowMs())
+                    execution.attemptMisdirected(reason)
+                } else {
+                    execution.attemptNotRun(reason, sent = true, response.headers["Retry-After"])
+                }
             }
             isStreaming -> if (execution.completeStream()) recordSuccess() else broken("stream ends within an event")
             isSuccess() -> {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -35,6 +35,7 @@
     private val arrivedMs = gateway.nowMs()
     private val prompt = parsePromptParts(request.headers[names.promptParts])
     private val attempted = LinkedHashSet<InstanceId>()
+    private var misdirected = 0
     private lateinit var authorised: AuthorisedRequest
     private var deadlineMs = Long.MAX_VALUE
     private var timeout: ScheduledFuture<*>? = null
@@ -157,10 +158,10 @@
         sent: Boolean,
         retryAfter: String?,
     ) {
-        val attempts = attempted.size
+        val attempts = attempted.size - misdirected
         if (sent && attempts >= authorised.route.maxAttempts) {
             refuse("refused by upstream: $reason", retryAfter)
-        } else if (attempts >= MAX_INSTANCES_TRIED || (sent && !acquireRetry())) {
+        } else if (attempted.size >= MAX_INSTANCES_TRIED || (sent && !acquireRetry())) {
             refuse("no attempt left: $reason", retryAfter)
         } else {
             log("call_retried", "not run: $reason")
@@ -168,13 +169,28 @@
         }
     }
 
+    /**
+     * Another process has answered at the address of the instance, which is gone and has not run the request. Such an
+     * attempt does not count towards the attempts of the route.
+     */
+    fun attemptMisdirected(reason: String) {
+        misdirected += 1
+        if (attempted.size >= MAX_INSTANCES_TRIED || !acquireRetry()) {
+            refuse("no attempt left: $reason")
+            return
+        }
+        log("call_retried", "not run: $reason")
+        if (prompt.isEmpty() || hasResponseBegun) tryNextInstance() else enqueue()
+    }
+
     /** The attempt may have run and did not succeed; [failure] is the instance's error response, if it sent one. */
     fun attemptFailed(
         reason: String,
         failure: BufferedResponse?,
     ) {
         val route = authorised.route
-        val canRetry = route.isRepeatable && attempted.size < route.maxAttempts && gateway.nowMs() < deadlineMs
+        val canRetry =
+            route.isRepeatable && attempted.size - misdirected < route.maxAttempts && gateway.nowMs() < deadlineMs
         if (canRetry && acquireRetry()) {
             failure?.release()
             framer?.dropPartial()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -65,7 +65,24 @@
         reason: String,
     ) {
         failures += 1
-        ejectedUntilMs = nowMs + minOf(MAX_EJECTION_MS, INITIAL_EJECTION_MS shl minOf(failures - 1, MAX_DOUBLINGS))
+        eject(nowMs, reason, minOf(MAX_EJECTION_MS, INITIAL_EJECTION_MS shl minOf(failures - 1, MAX_DOUBLINGS)))
+    }
+
+    /**
+     * Ejects the instance because another process has answered at its address. Only a change of the registry makes the
+     * instance usable again, and it replaces this object.
+     */
+    fun recordMisdirected(nowMs: Long) {
+        failures += 1
+        eject(nowMs, "another instance answers at this address", MAX_EJECTION_MS)
+    }
+
+    private fun eject(
+        nowMs: Long,
+        reason: String,
+        durationMs: Long,
+    ) {
+        ejectedUntilMs = nowMs + durationMs
         log.info(
             "event=instance_avoided instance={} upstream={} failures={} reason=\"{}\" for_ms={}",
             registered.id,
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/RequestExecutionTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/RequestExecutionTest.kt
@@ -6,6 +6,7 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldNotContain
@@ -102,6 +103,18 @@
             }
         }
 
+        test("an instance whose address another process has taken gets one request and counts as no attempt") {
+            val other =
+                upstream { request, output ->
+                    output.respond(request, status = "421 Misdirected Request")
+                    ConnectionAction.KEEP
+                }
+            withGateway(other, upstream(echo)) {
+                repeat(20) { call(ORDER, body = "hay") shouldContain "echo hay" }
+                other.requests.value.size shouldBeLessThanOrEqual 1
+            }
+        }
+
         test("a refusal has a Retry-After header and states that the request has not run") {
             withGateway {
                 val response = call(ORDER)
