--- a/core/src/main/kotlin/io/teaselspring/core/placement/InstancePool.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/InstancePool.kt
@@ -5,8 +5,8 @@
 package io.teaselspring.core.placement
 
 /**
- * The [instances] of [group]. [meanTokens] are means of the tokens of a prompt. The other of [entries] are assumed to
- * have as many pending prefill tokens on these instances as this entry has on average.
+ * The [instances] of [group], which [entries] entries share. Each of the other entries is assumed to have as many
+ * pending prefill tokens on these instances as this entry has on average. [meanTokens] are the mean tokens of a prompt.
  */
 internal class InstancePool(
     val instances: List<InstanceView>,
@@ -107,7 +107,8 @@
     /**
      * An instance of another group that has room for a request that its own group has no room for, or null. A group
      * overflows only to groups that allow longer event gaps: there its prompts are the shorter ones. Without this way a
-     * request would be refused while less urgent ones start on other instances.
+     * request would be refused while less urgent ones start on other instances. Interactive requests are short, so all
+     * of them go to the same instance, as far as this entry's share of the window allows.
      */
     fun overflowFor(request: QueuedRequest): InstanceView? {
         val others = healthy.filter { (groupByInstance[it.id] ?: return null) > request.group.index }
