--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -69,8 +69,8 @@
     }
 
     /**
-     * Ejects the instance because another process has answered at its address. Only a change of the registry makes the
-     * instance usable again, and it replaces this object.
+     * Ejects the instance for the longest time because another process has answered at its address. The registry
+     * usually replaces this object before that.
      */
     fun recordMisdirected(nowMs: Long) {
         failures += 1
