Keep events that arrive as an agent's wait for them ends

Callers of a plain request got the head and the first piece of its response and nothing more for stream_idle_ms (60 s), then "outcome unknown", although the service had executed it.

Cause: the event loop of the agent waited with `withTimeoutOrNull { events.receive() }`. A cancelled `receive` may have taken an element from the channel already; kotlinx.coroutines then drops it. While it has attempts the loop ticks every 50 ms, and the window between the removal and the resumption grows with the load of the machine, so that cold processes beside others lost events most often. A lost RunEnded leaves the attempt without its last message for good. Other events (a request, an opened link) are made up for by the timeout of an offer and by the next load report, which is why only this one was seen.

Change: `receiveWithin` waits with `select`, which decides atomically for the element or for the limit. The same wait stood in the inbox of a request in the entry, where the withdrawal of its key could be lost; it is changed too (ReceiveWithinTest). The two waits in UpstreamClient stay: there the end of the wait ends the run. Other uses of withTimeoutOrNull receive nothing from a channel.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AgentLoop.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AgentLoop.kt
@@ -7,11 +7,11 @@
 import io.teaselspring.core.admission.AgentScheduler
 import io.teaselspring.core.admission.AttemptId
 import io.teaselspring.core.admission.SchedulerEvent
+import io.teaselspring.daemon.receiveWithin
 import io.teaselspring.daemon.settings.AgentSettings
 import io.teaselspring.protocol.Message
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Interval of scheduler ticks while there are attempts. */
@@ -46,7 +46,7 @@
     suspend fun run() {
         while (true) {
             val waitMs = if (attempts.isEmpty) IDLE_TICK_MS else TICK_MS
-            handle(withTimeoutOrNull(waitMs.milliseconds) { events.receive() } ?: AgentEvent.Tick)
+            handle(events.receiveWithin(waitMs.milliseconds) ?: AgentEvent.Tick)
             // Under load an event always arrives before the timeout, so the tick is also checked against the clock.
             if (nowMs() - lastTickMs >= TICK_MS) handle(AgentEvent.Tick)
             if (attempts.draining && attempts.isEmpty) drained.complete(Unit)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/entry/Inbox.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/Inbox.kt
@@ -6,10 +6,12 @@
 
 import io.teaselspring.core.KeyId
 import io.teaselspring.core.RequestId
+import io.teaselspring.daemon.receiveWithin
 import io.teaselspring.protocol.CHUNK_WINDOW
 import io.teaselspring.protocol.Message
 import kotlinx.coroutines.channels.Channel
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
 
 /** An event of a request. */
 internal sealed interface InboxEvent {
@@ -41,7 +43,8 @@
     /** Adds [event]; returns false if the queue is full. */
     fun tryAdd(event: InboxEvent): Boolean = events.trySend(event).isSuccess
 
-    suspend fun receive(): InboxEvent = events.receive()
+    /** Waits for the next event, at most for [timeout]. */
+    suspend fun receive(timeout: Duration): InboxEvent? = events.receiveWithin(timeout)
 }
 
 /** The inboxes of all requests that run on this entry. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/entry/RequestRun.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/RequestRun.kt
@@ -20,7 +20,6 @@
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.FlowCollector
 import kotlinx.coroutines.flow.flow
-import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Timeout for an agent to respond to the offer of an idempotent request; the attempt then counts as lost. */
@@ -147,7 +146,7 @@
 
     private suspend fun awaitEvent(): DispatchAction? {
         val waitMs = minOf(deadlineMs + DEADLINE_GRACE_MS, attemptTimeoutAtMs()) - nowMs()
-        val event = withTimeoutOrNull(maxOf(1, waitMs).milliseconds) { inbox.receive() }
+        val event = inbox.receive(maxOf(1, waitMs).milliseconds)
         val current = offer
         return when {
             event == null -> handleTimeout()
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/agent/PlainHttpClientTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/agent/PlainHttpClientTest.kt
@@ -80,7 +80,8 @@
         body.toString()
     }
 
-private fun submit() =
+/** A plain request that a test sends to an agent or to its upstream. */
+internal fun submit() =
     Message.Submit(
         RequestId("r1"),
         attempt = 1,
