Compute rendezvous orders once per list of instances and keep pools over a dispatch

Cause of the time: each dispatch hashed the ids of all instances for the partition, and again for each waiting request; the estimates of a latency group were made again after each start, although a start changes none of them (the averages of the same millisecond keep their value, and reports of other entries are not touched).

--- a/core/src/main/kotlin/io/teaselspring/core/placement/LatencyGroup.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/LatencyGroup.kt
@@ -51,7 +51,8 @@
     groups: Int,
 ): Map<InstanceId, Int> {
     if (groups < 2 || ids.size < MIN_PARTITIONED_INSTANCES) return emptyMap()
-    val ranked = ids.sortedByDescending { rendezvousWeight(PARTITION_SEED, it) }
+    val weights = ids.associateWith { rendezvousWeight(PARTITION_SEED, it) }
+    val ranked = ids.sortedByDescending { weights.getValue(it) }
     val ends =
         PARTITION_FRACTIONS.take(groups - 1).runningFold(0) { end, fraction ->
             end +
--- a/core/src/main/kotlin/io/teaselspring/core/placement/PendingAverages.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/PendingAverages.kt
@@ -16,6 +16,9 @@
 
     private val averages = HashMap<InstanceId, Average>()
 
+    /** Number of instances with an average. */
+    val size: Int get() = averages.size
+
     /** Removes all instances but [ids]. */
     fun retain(ids: Set<InstanceId>) {
         averages.keys.retainAll(ids)
--- a/core/src/main/kotlin/io/teaselspring/core/placement/PrefixCacheEstimate.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/PrefixCacheEstimate.kt
@@ -23,7 +23,10 @@
         prompt: List<PromptPart>,
         isPreferred: Boolean,
     ): Long {
-        val unsentSharedTokens = prompt.dropLast(1).filter { it.id !in parts }.sumOf { it.tokens }
+        var unsentSharedTokens = 0L
+        for (index in 0 until prompt.lastIndex) {
+            if (prompt[index].id !in parts) unsentSharedTokens += prompt[index].tokens
+        }
         val uncachedFraction = if (isPreferred) UNCACHED_FRACTION_AT_PREFERRED else 1.0
         return (unsentSharedTokens * uncachedFraction).toLong() + (prompt.lastOrNull()?.tokens ?: 0)
     }
--- /dev/null
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/RendezvousCache.kt
@@ -0,0 +1,60 @@
+/*
+ * Results of rendezvous hashing that a queue needs in each dispatch. They depend only on the ids of the instances,
+ * which seldom change, while a dispatch takes place for each request, and every few milliseconds while requests wait.
+ */
+package io.teaselspring.core.placement
+
+import io.teaselspring.core.InstanceId
+
+/** The partition and the preferred instances of one queue. Not thread-safe. */
+internal class RendezvousCache {
+    private var partitionedIds = emptyList<InstanceId>()
+    private var groups = 0
+    private var groupByInstance = emptyMap<InstanceId, Int>()
+    private val preferredByGroup = HashMap<LatencyGroup, PreferredInstances>()
+
+    /** The result of [partitionInstances]. */
+    fun partition(
+        ids: List<InstanceId>,
+        groups: Int,
+    ): Map<InstanceId, Int> {
+        if (groups != this.groups || ids != partitionedIds) {
+            groupByInstance = partitionInstances(ids, groups)
+            partitionedIds = ids
+            this.groups = groups
+        }
+        return groupByInstance
+    }
+
+    /** The preferred instances of the parts of requests of [group], which [instances] serve. */
+    fun preferredInstances(
+        group: LatencyGroup,
+        instances: List<InstanceView>,
+    ): PreferredInstances {
+        val known = preferredByGroup[group]
+        if (known != null && known.isFor(instances)) return known
+        return PreferredInstances(instances.map { it.id }).also { preferredByGroup[group] = it }
+    }
+}
+
+/** The preferred instances among [ids] by shared part. */
+internal class PreferredInstances(
+    private val ids: List<InstanceId>,
+) {
+    private val positionByPart = HashMap<String, Int>()
+
+    fun isFor(instances: List<InstanceView>): Boolean =
+        ids.size == instances.size && ids.indices.all { ids[it] == instances[it].id }
+
+    /** The position of the instance that comes first in the rendezvous order of [part], or null without instances. */
+    fun positionFor(part: String): Int? {
+        if (ids.isEmpty()) return null
+        // Parts come and go while the instances stay the same.
+        if (positionByPart.size >= MAX_PARTS) positionByPart.clear()
+        return positionByPart.getOrPut(part) { ids.indices.maxBy { rendezvousWeight(part, ids[it]) } }
+    }
+
+    private companion object {
+        const val MAX_PARTS = 4_096
+    }
+}
--- a/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
@@ -108,6 +108,7 @@
 ) {
     private val waiting = ArrayList<QueuedRequest>()
     private val pendingAverages = PendingAverages()
+    private val hashes = RendezvousCache()
 
     /** Moving averages of the tokens of a prompt. */
     private val meanTokens = HashMap<LatencyGroup, Double>()
@@ -137,8 +138,9 @@
         groups: Int,
         onStart: (QueueDecision.Start) -> Unit,
     ): List<QueueDecision.Refuse> {
-        pendingAverages.retain(instances.mapTo(HashSet()) { it.id })
-        val partition = InstancePartition(instances, groups, policy, entries(), meanTokens, pendingAverages, nowMs)
+        if (pendingAverages.size > instances.size) pendingAverages.retain(instances.mapTo(HashSet()) { it.id })
+        val partition =
+            InstancePartition(instances, groups, policy, entries(), meanTokens, pendingAverages, hashes, nowMs)
         // Within a priority, requests that can still meet their latency target precede those that can't.
         waiting.sortWith(compareBy({ it.priority }, { nowMs >= it.lateAfterMs }, { it.arrivedMs }))
         val refused = mutableListOf<QueueDecision.Refuse>()
@@ -148,10 +150,7 @@
             val instance =
                 instanceFor(request, partition.poolOf(request.group), nowMs) ?: partition.overflowFor(request)
             when {
-                instance != null -> {
-                    onStart(QueueDecision.Start(request, instance.id))
-                    partition.invalidate()
-                }
+                instance != null -> onStart(QueueDecision.Start(request, instance.id))
                 nowMs >= request.refuseAfterMs -> refused += QueueDecision.Refuse(request)
                 else -> waiting += request
             }
@@ -164,18 +163,19 @@
         pool: InstancePool,
         nowMs: Long,
     ): InstanceView? {
-        val preferred = pool.instances.byAffinity(request) ?: return null
-        val uncachedAtPreferred = preferred.uncachedTokens(request.parts, isPreferred = true)
-        if (pool.hasRoom(preferred, request, uncachedAtPreferred)) return preferred
+        val preferred = pool.preferredFor(request) ?: return null
+        val uncachedAtPreferred = preferred.instance.uncachedTokens(request.parts, isPreferred = true)
+        if (pool.hasRoom(preferred, request) { uncachedAtPreferred }) return preferred.instance
         if (nowMs - request.arrivedMs < policy.spillAfterMs) return null
-        val maxTokens = (pool.pendingTokensOn(preferred) + uncachedAtPreferred) * policy.spillTimeRatio
-        return pool.instances
-            .filter { it !== preferred }
+        val maxTokens = (preferred.pendingTokens + uncachedAtPreferred) * policy.spillTimeRatio
+        return pool.spillCandidates
+            .filter { it !== preferred && it.pendingTokens < maxTokens }
             .filter {
-                val uncached = it.uncachedTokens(request.parts, isPreferred = false)
-                pool.pendingTokensOn(it) + uncached < maxTokens &&
-                    pool.hasRoom(it, request, uncached, policy.spillMemoryFraction)
+                val uncached = it.instance.uncachedTokens(request.parts, isPreferred = false)
+                it.pendingTokens + uncached < maxTokens &&
+                    pool.hasRoom(it, request, policy.spillMemoryFraction) { uncached }
             }.byAffinity(request)
+            ?.instance
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
@@ -119,9 +119,8 @@
     val instance: UpstreamInstance,
     nowMs: Long,
 ) : InstanceView {
-    private val candidate = instance.candidate(nowMs, STREAM_STALL_MS)
-    override val id: InstanceId get() = candidate.id
-    override val isEjected: Boolean get() = candidate.isEjected
+    override val id: InstanceId get() = instance.registered.id
+    override val isEjected: Boolean = instance.isEjected(nowMs, STREAM_STALL_MS)
     override val load: KnownLoad get() = instance.load
     override val memoryTokens: Long? get() = instance.memoryTokens
     override val pendingPrefillTokens: Long get() = instance.pendingPrefillTokens
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -96,17 +96,21 @@
     fun candidate(
         nowMs: Long,
         stallMs: Long,
-    ): PlacementCandidate {
-        val isStalled = load.ownRequests > 0 && nowMs - lastActivityMs > stallMs
-        return PlacementCandidate(
+    ): PlacementCandidate =
+        PlacementCandidate(
             registered.id,
             registered.dataCentre,
             registered.slots,
             load.requestsAt(nowMs),
             pendingPrefillTokens,
-            isStalled || nowMs < ejectedUntilMs,
+            isEjected(nowMs, stallMs),
         )
-    }
+
+    /** Whether the instance is ejected, or has requests of this entry and has sent nothing for [stallMs]. */
+    fun isEjected(
+        nowMs: Long,
+        stallMs: Long,
+    ): Boolean = nowMs < ejectedUntilMs || (load.ownRequests > 0 && nowMs - lastActivityMs > stallMs)
 
     private companion object {
         const val INITIAL_EJECTION_MS = 250L
