Don't state that a request has not run after an attempt that may have run

A caller of a repeatable request got 503 and "not run" although an instance had received it: its connection broke or it answered with an error, and the retry was then refused by the next instance, by the retry budget, or because no instance was left. 503 promises that the request has not run and never will.

Cause: a refusal looked only at the last attempt.

Change: a request remembers that an attempt may have run; its refusal is then 502 with "outcome unknown", still with Retry-After.

Evidence: the new case of RequestExecutionTest calls ten times before an instance that drops requests and one that refuses them.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -36,6 +36,7 @@
     private val prompt = parsePromptParts(request.headers[names.promptParts])
     private val attempted = LinkedHashSet<InstanceId>()
     private var misdirected = 0
+    private var mayHaveRun = false
     private lateinit var authorised: AuthorisedRequest
     private var deadlineMs = Long.MAX_VALUE
     private var timeout: ScheduledFuture<*>? = null
@@ -188,6 +189,7 @@
         reason: String,
         failure: BufferedResponse?,
     ) {
+        mayHaveRun = true
         val route = authorised.route
         val canRetry =
             route.isRepeatable && attempted.size - misdirected < route.maxAttempts && gateway.nowMs() < deadlineMs
@@ -265,14 +267,18 @@
         attempt?.setReading(isWritable)
     }
 
-    /** Responds 503: the request has not run, and `Retry-After` says when to retry. */
+    /**
+     * Responds that the request is not executed now; `Retry-After` says when to retry. The status is 503, which states
+     * that the request has not run, unless an earlier attempt may have run.
+     */
     private fun refuse(
         reason: String,
         retryAfter: String? = null,
     ) {
         val headers = DefaultHttpHeaders()
         headers["Retry-After"] = retryAfter ?: retryAfterSeconds(gateway.randomBelow)
-        respond(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, headers)
+        val status = if (mayHaveRun) HttpResponseStatus.BAD_GATEWAY else HttpResponseStatus.SERVICE_UNAVAILABLE
+        respond(status, reason, headers)
     }
 
     /** Ends the request with a response of this entry, or truncates the response if it has begun. */
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/RequestExecutionTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/RequestExecutionTest.kt
@@ -4,8 +4,10 @@
  */
 package io.teaselspring.daemon.gateway
 
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
@@ -124,6 +126,28 @@
             }
         }
 
+        // A retry that is refused must not hide that the first attempt may have run.
+        test("a request that one instance may have run is not refused as not run after another has refused it") {
+            val losing = upstream { _, _ -> ConnectionAction.RESET }
+            val refusing =
+                upstream { request, output ->
+                    output.respond(request, status = "503 Service Unavailable", extra = "X-Not-Run: 1\r\n")
+                    ConnectionAction.KEEP
+                }
+            withGateway(losing, refusing) {
+                repeat(10) {
+                    val received = losing.requests.value.size
+                    val response = call(PLAIN, method = "GET")
+                    val mayHaveRun = losing.requests.value.size > received
+                    withClue(response) {
+                        response shouldStartWith if (mayHaveRun) "HTTP/1.1 502" else "HTTP/1.1 503"
+                        response shouldContain if (mayHaveRun) "outcome unknown" else "\"ran\":\"not run\""
+                    }
+                }
+                losing.requests.value.size shouldBeGreaterThan 0
+            }
+        }
+
         test("a response with the id of another request is not passed on as the response") {
             val doubling =
                 upstream { request, output ->
