Split RequestExecution: attempts and the forwarded stream have files of their own

RequestAttempts keeps which instances were tried, which attempts don't count and whether one may have run; ForwardedStream keeps what the caller has received of a stream. No change of behaviour: RequestExecutionTest and RequestLogTest pass.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/AuthorisedRequest.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/AuthorisedRequest.kt
@@ -7,6 +7,7 @@
 import io.teaselspring.core.placement.LatencyGroup
 import io.teaselspring.core.placement.PromptPart
 import io.teaselspring.core.placement.QueuedRequest
+import io.teaselspring.core.placement.latencyGroupOf
 import io.teaselspring.core.routing.RoutingConfig
 import io.teaselspring.core.routing.RoutingDecision
 
@@ -46,6 +47,16 @@
     }
 }
 
+/** This decision of [config], which was at most [configAgeMs] old, for a request that goes to [upstream]. */
+internal fun RoutingDecision.Allowed.toUpstream(
+    upstream: UpstreamName,
+    config: RoutingConfig,
+    configAgeMs: Long?,
+): AuthorisedRequest {
+    val group = latencyGroupOf(route.maxEventGapMs, config.eventGapsOf(upstream))
+    return AuthorisedRequest(config.version, configAgeMs, this, upstream, group)
+}
+
 /**
  * Authorises [request] by [config]. If the decision requires a fresher configuration, waits for a confirmed read of it.
  * [done] gets a null decision if no such read succeeds in time.
--- /dev/null
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
@@ -0,0 +1,57 @@
+/*
+ * The attempts of one request, and the choice of an instance that has not been tried yet.
+ */
+package io.teaselspring.daemon.gateway
+
+import io.teaselspring.core.InstanceId
+import io.teaselspring.core.placement.PlacementRequest
+import io.teaselspring.core.placement.PromptPart
+import io.teaselspring.core.placement.chooseInstance
+import io.teaselspring.core.routing.RouteKind
+
+/** The attempts of one request. */
+internal class RequestAttempts {
+    private val instances = LinkedHashSet<InstanceId>()
+    private var misdirected = 0
+
+    /** Whether an instance may have run the request. */
+    var mayHaveRun = false
+
+    /** The instances that were tried, in order. */
+    val tried: Set<InstanceId> get() = instances
+
+    /** The number of attempts that count towards the limit of the route. */
+    val counted: Int get() = instances.size - misdirected
+
+    fun begin(instance: InstanceId) {
+        instances += instance
+    }
+
+    /** Records that another process has answered in place of the last instance; the attempt does not count. */
+    fun recordMisdirected() {
+        misdirected += 1
+    }
+}
+
+/** Chooses an instance for an attempt that no queue dispatches, or returns null if all instances are [tried]. */
+internal fun Gateway.chooseInstanceFor(
+    authorised: AuthorisedRequest,
+    prompt: List<PromptPart>,
+    tried: Set<InstanceId>,
+): UpstreamInstance? {
+    val now = nowMs()
+    val available = instances.available(authorised.upstream)
+    val stallMs = if (authorised.route.kind == RouteKind.STREAM) STREAM_STALL_MS else PLAIN_STALL_MS
+    val prefixId = prompt.getOrNull(prompt.size - 2)?.id ?: prompt.firstOrNull()?.id
+    val chosen =
+        chooseInstance(
+            available.map { it.candidate(now, stallMs) },
+            PlacementRequest(prefixId, authorised.group, settings.dataCentre),
+            tried,
+            randomBelow,
+        )
+    return chosen?.let { candidate -> available.firstOrNull { it.registered.id == candidate.id } }
+}
+
+/** As [STREAM_STALL_MS]; shorter, because non-stream requests take milliseconds. */
+private const val PLAIN_STALL_MS = 300L
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -9,11 +9,6 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.util.concurrent.ScheduledFuture
-import io.teaselspring.core.InstanceId
-import io.teaselspring.core.placement.PlacementRequest
-import io.teaselspring.core.placement.chooseInstance
-import io.teaselspring.core.placement.latencyGroupOf
-import io.teaselspring.core.routing.RouteKind
 import io.teaselspring.core.routing.RoutingConfig
 import io.teaselspring.core.routing.RoutingDecision
 import io.teaselspring.core.routing.pickUpstream
@@ -34,18 +29,14 @@
     private val requestId = request.headers[names.requestId].orEmpty()
     private val arrivedMs = gateway.nowMs()
     private val prompt = parsePromptParts(request.headers[names.promptParts])
-    private val attempted = LinkedHashSet<InstanceId>()
-    private var misdirected = 0
-    private var mayHaveRun = false
+    private val attempts = RequestAttempts()
     private lateinit var authorised: AuthorisedRequest
     private var deadlineMs = Long.MAX_VALUE
     private var timeout: ScheduledFuture<*>? = null
     private var attempt: InstanceAttempt? = null
-    private var hasResponseBegun = false
-    private var framer: EventFramer? = null
+    private val stream = ForwardedStream(writer)
     private var isFinished = false
     private var queueId: Long? = null
-    private var firstEventMs: Long? = null
 
     fun start() {
         val config = gateway.config.current
@@ -80,14 +71,7 @@
             refuse("route without upstream")
             return
         }
-        authorised =
-            AuthorisedRequest(
-                config.version,
-                gateway.config.ageMs(),
-                decision,
-                upstream,
-                latencyGroupOf(decision.route.maxEventGapMs, config.eventGapsOf(upstream)),
-            )
+        authorised = decision.toUpstream(upstream, config, gateway.config.ageMs())
         val budgetMs = request.headers[names.timeBudgetMs]?.toLongOrNull() ?: Long.MAX_VALUE
         val timeoutMs = minOf(decision.route.timeoutMs, budgetMs)
         deadlineMs = arrivedMs + timeoutMs
@@ -120,20 +104,9 @@
 
     /** Starts an attempt on an instance that has not been tried yet, or refuses the request if there is none. */
     private fun tryNextInstance() {
-        val now = gateway.nowMs()
-        val all = gateway.instances.available(authorised.upstream)
-        val stallMs = if (authorised.route.kind == RouteKind.STREAM) STREAM_STALL_MS else PLAIN_STALL_MS
-        val prefixId = prompt.getOrNull(prompt.size - 2)?.id ?: prompt.firstOrNull()?.id
-        val chosen =
-            chooseInstance(
-                all.map { it.candidate(now, stallMs) },
-                PlacementRequest(prefixId, authorised.group, gateway.settings.dataCentre),
-                attempted,
-                gateway.randomBelow,
-            )
-        val instance = chosen?.let { candidate -> all.firstOrNull { it.registered.id == candidate.id } }
+        val instance = gateway.chooseInstanceFor(authorised, prompt, attempts.tried)
         if (instance == null) {
-            refuse(if (attempted.isEmpty()) "no instance" else "no further instance")
+            refuse(if (attempts.tried.isEmpty()) "no instance" else "no further instance")
             return
         }
         startAttempt(instance, instance.prefixCache.uncachedTokens(prompt, isPreferred = false))
@@ -144,12 +117,12 @@
         uncachedTokens: Long,
     ) {
         val waitedMs = gateway.nowMs() - arrivedMs
-        if (attempted.isEmpty()) gateway.metrics.dispatched(authorised.route.name, waitedMs.milliseconds)
+        if (attempts.tried.isEmpty()) gateway.metrics.dispatched(authorised.route.name, waitedMs.milliseconds)
         gateway.logDispatch(requestId, authorised, instance, uncachedTokens, waitedMs)
-        attempted += instance.registered.id
+        attempts.begin(instance.registered.id)
         attempt =
             InstanceAttempt(gateway, this, authorised, instance, prompt.sumOf { it.tokens }, uncachedTokens).also {
-                it.start(request, deadlineMs, framer?.lastEventId)
+                it.start(request, deadlineMs, stream.lastEventId)
             }
     }
 
@@ -159,10 +132,9 @@
         sent: Boolean,
         retryAfter: String?,
     ) {
-        val attempts = attempted.size - misdirected
-        if (sent && attempts >= authorised.route.maxAttempts) {
+        if (sent && attempts.counted >= authorised.route.maxAttempts) {
             refuse("refused by upstream: $reason", retryAfter)
-        } else if (attempted.size >= MAX_INSTANCES_TRIED || (sent && !acquireRetry())) {
+        } else if (attempts.tried.size >= MAX_INSTANCES_TRIED || (sent && !acquireRetry())) {
             refuse("no attempt left: $reason", retryAfter)
         } else {
             log("call_retried", "not run: $reason")
@@ -175,13 +147,13 @@
      * attempt does not count towards the attempts of the route.
      */
     fun attemptMisdirected(reason: String) {
-        misdirected += 1
-        if (attempted.size >= MAX_INSTANCES_TRIED || !acquireRetry()) {
+        attempts.recordMisdirected()
+        if (attempts.tried.size >= MAX_INSTANCES_TRIED || !acquireRetry()) {
             refuse("no attempt left: $reason")
             return
         }
         log("call_retried", "not run: $reason")
-        if (prompt.isEmpty() || hasResponseBegun) tryNextInstance() else enqueue()
+        if (prompt.isEmpty() || stream.hasBegun) tryNextInstance() else enqueue()
     }
 
     /** The attempt may have run and did not succeed; [failure] is the instance's error response, if it sent one. */
@@ -189,16 +161,15 @@
         reason: String,
         failure: BufferedResponse?,
     ) {
-        mayHaveRun = true
+        attempts.mayHaveRun = true
         val route = authorised.route
-        val canRetry =
-            route.isRepeatable && attempted.size - misdirected < route.maxAttempts && gateway.nowMs() < deadlineMs
+        val canRetry = route.isRepeatable && attempts.counted < route.maxAttempts && gateway.nowMs() < deadlineMs
         if (canRetry && acquireRetry()) {
             failure?.release()
-            framer?.dropPartial()
+            stream.dropPartial()
             log("call_retried", reason)
             tryNextInstance()
-        } else if (failure != null && !hasResponseBegun) {
+        } else if (failure != null && !stream.hasBegun) {
             recordResponse("failed_by_upstream", failure.status.code())
             writer.respond(failure.status, failure.headers, failure.body)
         } else {
@@ -213,23 +184,17 @@
     /** An instance has sent the head of a stream; the caller gets the stream as it arrives. */
     fun streamStarted(response: BufferedResponse) {
         // A stream that resumes on another instance keeps the head of the first one.
-        if (hasResponseBegun) return
-        hasResponseBegun = true
-        if (authorised.route.isResumable) framer = EventFramer()
+        if (stream.hasBegun) return
         gateway.metrics.responded(authorised.route.name, (gateway.nowMs() - arrivedMs).milliseconds)
-        writer.writeHead(response.status, response.headers)
+        stream.begin(response, authorised.route.isResumable)
     }
 
     /** Forwards [chunk] of the stream; the attempt keeps its ownership. */
-    fun streamChunk(chunk: ByteBuf) {
-        if (firstEventMs == null) firstEventMs = gateway.nowMs() - arrivedMs
-        val framer = framer
-        if (framer == null) writer.writeBody(chunk.retain()) else framer.add(chunk)?.let { writer.writeBody(it) }
-    }
+    fun streamChunk(chunk: ByteBuf) = stream.forward(chunk, gateway.nowMs())
 
     /** Completes the response after the instance ended the stream; returns false if it ended within an event. */
     fun completeStream(): Boolean {
-        if (framer?.hasPartial == true) return false
+        if (stream.hasPartial) return false
         gateway.retryBudget(authorised.upstream).succeeded(authorised.organisation, gateway.nowMs())
         finish("answered", "200")
         writer.end()
@@ -277,7 +242,7 @@
     ) {
         val headers = DefaultHttpHeaders()
         headers["Retry-After"] = retryAfter ?: retryAfterSeconds(gateway.randomBelow)
-        val status = if (mayHaveRun) HttpResponseStatus.BAD_GATEWAY else HttpResponseStatus.SERVICE_UNAVAILABLE
+        val status = if (attempts.mayHaveRun) HttpResponseStatus.BAD_GATEWAY else HttpResponseStatus.SERVICE_UNAVAILABLE
         respond(status, reason, headers)
     }
 
@@ -287,7 +252,7 @@
         reason: String,
         headers: DefaultHttpHeaders = DefaultHttpHeaders(),
     ) {
-        if (hasResponseBegun) {
+        if (stream.hasBegun) {
             finish("cut", reason)
             writer.abort()
             return
@@ -296,7 +261,8 @@
         finish(if (isRefusal) "refused" else "status_${status.code()}", reason)
         headers["Content-Type"] = "application/json"
         if (requestId.isNotEmpty()) headers[names.requestId] = requestId
-        writer.respond(status, headers, localResponseBody(status, reason, requestId, attempted.isEmpty() || isRefusal))
+        val hasNotRun = attempts.tried.isEmpty() || isRefusal
+        writer.respond(status, headers, localResponseBody(status, reason, requestId, hasNotRun))
     }
 
     private fun finish(
@@ -306,11 +272,10 @@
         isFinished = true
         queueId?.let { gateway.queues.remove(authorised.upstream, it) }
         timeout?.cancel(false)
-        framer?.dropPartial()
+        stream.dropPartial()
         gateway.metrics.request(if (::authorised.isInitialized) authorised.route.name else "none", outcome)
-        firstEventMs?.let { first ->
-            val streamedMs = gateway.nowMs() - arrivedMs - first
-            gateway.metrics.streamEnded(authorised.route.name, outcome, streamedMs.milliseconds)
+        stream.firstEventAtMs?.let {
+            gateway.metrics.streamEnded(authorised.route.name, outcome, (gateway.nowMs() - it).milliseconds)
         }
         log("call_ended", reason, outcome)
         request.body.release()
@@ -322,15 +287,13 @@
         outcome: String? = null,
     ) {
         val known = if (::authorised.isInitialized) authorised else null
-        val details = RequestLogDetails(reason, outcome, attempted, gateway.nowMs() - arrivedMs, firstEventMs)
+        val firstEventMs = stream.firstEventAtMs?.let { it - arrivedMs }
+        val details = RequestLogDetails(reason, outcome, attempts.tried, gateway.nowMs() - arrivedMs, firstEventMs)
         gateway.logRequest(event, requestId, known, details)
     }
 
     private companion object {
         /** Limit of attempts for a request that no instance has received, for example because connections fail. */
         const val MAX_INSTANCES_TRIED = 4
-
-        /** As [STREAM_STALL_MS]; shorter, because non-stream requests take milliseconds. */
-        const val PLAIN_STALL_MS = 300L
     }
 }
