Bound what a server may send in place of a response

Cause: only heads had a limit. Whole responses and calls to the platform were collected without one, an unfinished event of a resumable stream was too, and informational responses and responses to other requests were skipped without end. The class is a buffer that the peer sizes. Two of them also copied all they held for each piece (16 components of a composite buffer, the framer for events), so that small pieces stopped the event loop long before the memory was gone.

Change: a response that is kept as a whole may have 8 MB, an event 1 MB, and before the response to a request there may be 16 other heads and 1 MB of their bodies. Beyond that Exchange.fail closes the connection, and the attempt counts as broken: the instance is ejected, a repeatable request is retried. Bodies and events are collected in one growing buffer, and the framer searches new bytes only.

Evidence: EndlessResponseTest sends without end in eleven places, to requests, streams and calls to the platform. Of 17 cases (before those with small pieces were added) 9 failed on the parent commit: 504 after the timeout of 4 s and 63 to 259 MB. With the limits alone the two with small pieces still failed (504 after 8 MB, a stalled loop). All 19 pass now.

Not covered: the agents' client of event streams (Ktor's SSE plugin) reads lines without a limit of ours; plain responses through agents are forwarded under backpressure and hold nothing.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/EventFramer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/EventFramer.kt
@@ -7,43 +7,41 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 
-/** Splits a stream after complete events. [dropPartial] must be called at the end to release the buffer. */
+/** Splits a stream after complete events. */
 internal class EventFramer {
-    private var partial: ByteBuf = Unpooled.EMPTY_BUFFER
+    private val partial = Unpooled.buffer()
 
     /** Id of the last complete event, null before the first. */
     var lastEventId: String? = null
         private set
 
+    /** Whether the unfinished event is larger than any event may be. */
+    val isOversized: Boolean get() = partial.readableBytes() > MAX_EVENT_BYTES
+
     /** Whether bytes of an unfinished event are held back. */
     val hasPartial: Boolean get() = partial.isReadable
 
     /** Adds [piece], whose ownership stays with the caller; returns the events that are now complete, or null. */
     fun add(piece: ByteBuf): ByteBuf? {
-        val all = Unpooled.buffer(partial.readableBytes() + piece.readableBytes()).writeBytes(partial).writeBytes(piece)
-        partial.release()
-        val end = endOfLastEvent(all)
-        if (end < 0) {
-            partial = all
-            return null
-        }
-        val whole = all.readSlice(end - all.readerIndex())
+        val searchedTo = partial.writerIndex()
+        partial.writeBytes(piece, piece.readerIndex(), piece.readableBytes())
+        val end = endOfLastEvent(searchedTo)
+        if (end < 0) return null
+        val whole = partial.readBytes(end)
+        partial.discardReadBytes()
         recordLastEventId(whole)
-        partial = Unpooled.copiedBuffer(all)
         return whole
     }
 
     /** Drops the unfinished event. */
     fun dropPartial() {
-        partial.release()
-        partial = Unpooled.EMPTY_BUFFER
+        partial.clear()
     }
 
-    private fun endOfLastEvent(bytes: ByteBuf): Int {
-        var at = bytes.writerIndex() - 1
-        while (at > bytes.readerIndex()) {
-            if (bytes.getByte(at) == NEWLINE && followsLineEnd(bytes, at - 1)) return at + 1
-            at -= 1
+    /** The index after the last event that ends at [from] or later, or -1. */
+    private fun endOfLastEvent(from: Int): Int {
+        for (at in partial.writerIndex() - 1 downTo maxOf(1, from)) {
+            if (partial.getByte(at) == NEWLINE && followsLineEnd(partial, at - 1)) return at + 1
         }
         return -1
     }
@@ -66,6 +64,7 @@
     }
 
     private companion object {
+        const val MAX_EVENT_BYTES = 1024 * 1024
         const val NEWLINE = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val ID_FIELD = "id:"
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
@@ -36,14 +36,18 @@
         writer.writeHead(response.status, response.headers)
     }
 
-    /** Forwards [chunk], which arrived at [nowMs]; the caller keeps its ownership. */
+    /**
+     * Forwards [chunk], which arrived at [nowMs]; the caller keeps its ownership. Returns false if an event has become
+     * too large, so that the stream has to end.
+     */
     fun forward(
         chunk: ByteBuf,
         nowMs: Long,
-    ) {
+    ): Boolean {
         if (firstEventAtMs == null) firstEventAtMs = nowMs
         val framer = framer
         if (framer == null) writer.writeBody(chunk.retain()) else framer.add(chunk)?.let { writer.writeBody(it) }
+        return framer?.isOversized != true
     }
 
     /** Drops the part of an event that another instance sends again in whole. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HttpCalls.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HttpCalls.kt
@@ -14,8 +14,10 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
+import io.teaselspring.daemon.http.Exchange
 import io.teaselspring.daemon.http.ExchangeListener
 import io.teaselspring.daemon.http.HttpConnections
+import io.teaselspring.daemon.http.MAX_BUFFERED_BODY_BYTES
 import io.teaselspring.daemon.http.OutgoingRequest
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
@@ -67,6 +69,7 @@
         suspendCancellableCoroutine { continuation ->
             val collector = ResponseCollector { continuation.resume(it) }
             val exchange = connections.server(address).send(request, collector)
+            collector.exchange = exchange
             continuation.invokeOnCancellation { exchange.cancel() }
         }
 
@@ -86,6 +89,7 @@
 private class ResponseCollector(
     private val onResult: (Either<HttpCallFailure, HttpCallResponse>) -> Unit,
 ) : ExchangeListener {
+    var exchange: Exchange? = null
     private var status = 0
     private val collected = Unpooled.buffer()
 
@@ -97,6 +101,8 @@
 
     override fun body(piece: ByteBuf) {
         collected.writeBytes(piece)
+        val isOversized = collected.readableBytes() > MAX_BUFFERED_BODY_BYTES
+        if (isOversized) exchange?.fail("response body over $MAX_BUFFERED_BODY_BYTES bytes")
     }
 
     override fun end() = onResult(HttpCallResponse(status, ByteBufUtil.getBytes(collected)).right())
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -4,7 +4,6 @@
 package io.teaselspring.daemon.gateway
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.CompositeByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpHeaders
@@ -15,6 +14,7 @@
 import io.teaselspring.core.routing.RouteKind
 import io.teaselspring.daemon.http.Exchange
 import io.teaselspring.daemon.http.ExchangeListener
+import io.teaselspring.daemon.http.MAX_BUFFERED_BODY_BYTES
 import io.teaselspring.daemon.http.OutgoingRequest
 
 /** Skips validation: the headers come from the HTTP decoder, which has validated them. */
@@ -24,8 +24,14 @@
 internal class BufferedResponse(
     val status: HttpResponseStatus,
     val headers: HttpHeaders,
-    val body: CompositeByteBuf = Unpooled.compositeBuffer(),
+    val body: ByteBuf = Unpooled.buffer(),
 ) {
+    val isOversized: Boolean get() = body.readableBytes() > MAX_BUFFERED_BODY_BYTES
+
+    fun add(piece: ByteBuf) {
+        body.writeBytes(piece, piece.readerIndex(), piece.readableBytes())
+    }
+
     fun release() {
         body.release()
     }
@@ -137,9 +143,10 @@
         if (isPrefilling) finishPrefill()
         if (!isNotRun()) recordUsage()
         if (isStreaming) {
-            execution.streamChunk(piece)
+            if (!execution.streamChunk(piece)) exchange?.fail("event too large")
         } else {
-            buffered?.body?.addComponent(true, piece.retain())
+            buffered?.add(piece)
+            if (buffered?.isOversized == true) exchange?.fail("response body over $MAX_BUFFERED_BODY_BYTES bytes")
         }
     }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -189,8 +189,8 @@
         stream.begin(response, authorised.route.isResumable)
     }
 
-    /** Forwards [chunk] of the stream; the attempt keeps its ownership. */
-    fun streamChunk(chunk: ByteBuf) = stream.forward(chunk, gateway.nowMs())
+    /** Forwards [chunk] of the stream; the attempt keeps its ownership. Returns false if an event is too large. */
+    fun streamChunk(chunk: ByteBuf): Boolean = stream.forward(chunk, gateway.nowMs())
 
     /** Completes the response after the instance ended the stream; returns false if it ended within an event. */
     fun completeStream(): Boolean {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
@@ -26,6 +26,8 @@
     private var writeFuture: ChannelFuture? = null
     private var response: HttpResponse? = null
     private var isSkipping = false
+    private var skippedHeads = 0
+    private var skippedBytes = 0L
     private var failure: String? = null
     private var expiresAtMs = Long.MAX_VALUE
 
@@ -50,6 +52,8 @@
         this.listener = listener
         response = null
         isSkipping = false
+        skippedHeads = 0
+        skippedBytes = 0
         writeFuture = channel.writeRequest(request)
         return RunningExchange(listener)
     }
@@ -66,6 +70,10 @@
         override fun setReading(isWanted: Boolean) {
             if (listener === exchangeListener) channel.config().isAutoRead = isWanted
         }
+
+        override fun fail(reason: String) {
+            if (listener === exchangeListener) this@HttpConnection.fail(reason)
+        }
     }
 
     override fun channelRead(
@@ -92,18 +100,29 @@
     private fun onHead(head: HttpResponse) {
         val sent = request ?: return
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            isSkipping = true
+            skipHead()
             return
         }
         // A duplicate response to an earlier request may arrive in place of the response to this one.
         isSkipping = !sent.acceptsResponse(head)
-        if (isSkipping) return
+        if (isSkipping) return skipHead()
         response = head
         listener?.head(head)
     }
 
+    private fun skipHead() {
+        isSkipping = true
+        skippedHeads += 1
+        if (skippedHeads > MAX_SKIPPED_HEADS) fail("more than $MAX_SKIPPED_HEADS responses to other requests")
+    }
+
+    private fun skipBody(content: HttpContent) {
+        skippedBytes += content.content().readableBytes()
+        if (skippedBytes > MAX_SKIPPED_BYTES) fail("more than $MAX_SKIPPED_BYTES bytes for other requests")
+    }
+
     private fun onContent(content: HttpContent) {
-        if (!isSkipping) listener?.body(content.content())
+        if (isSkipping) skipBody(content) else listener?.body(content.content())
         if (content !is LastHttpContent) return
         if (isSkipping) {
             isSkipping = false
@@ -172,6 +191,10 @@
 
     private companion object {
         const val MILLIS_PER_S = 1000L
+
+        /** Limits of informational responses and responses to other requests; a faulty server may send without end. */
+        const val MAX_SKIPPED_HEADS = 16
+        const val MAX_SKIPPED_BYTES = 1024 * 1024
         const val KEEP_ALIVE_MARGIN_MS = 700L
         const val DEFAULT_IDLE_TIMEOUT_MS = 2_000L
         val KEEP_ALIVE_TIMEOUT = Regex("timeout=(\\d+)")
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
@@ -58,8 +58,14 @@
 
     /** Resumes or suspends reading the response from the socket, for back-pressure. */
     fun setReading(isWanted: Boolean)
+
+    /** Closes the connection and ends the exchange as broken, because the response cannot be accepted. */
+    fun fail(reason: String)
 }
 
+/** Limit of a response body that is kept in memory as a whole; a faulty server may send without end. */
+internal const val MAX_BUFFERED_BODY_BYTES = 8 * 1024 * 1024
+
 /** A request to send. If [requestId] is set, the server must echo it in the response header [idHeader]. */
 internal class OutgoingRequest(
     val method: HttpMethod,
@@ -221,6 +227,10 @@
     override fun setReading(isWanted: Boolean) {
         started?.setReading(isWanted)
     }
+
+    override fun fail(reason: String) {
+        started?.fail(reason)
+    }
 }
 
 internal fun Channel.writeRequest(request: OutgoingRequest): ChannelFuture {
