Bound the bodies that agents and the platform client read as a whole

A store, or an upstream in its health check, that sends a body without end filled the memory of each daemon that called it until the call's timeout.

Cause: Ktor's client keeps whole bodies unless a call is made with `execute`, and it has no limit for them.

An instance whose health response goes on beyond that is not healthy.

Still without a limit: lines of event streams at an agent.

--- a/core/src/main/kotlin/io/teaselspring/core/placement/RendezvousCache.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/RendezvousCache.kt
@@ -49,12 +49,12 @@
     /** The position of the instance that comes first in the rendezvous order of [part], or null without instances. */
     fun positionFor(part: String): Int? {
         if (ids.isEmpty()) return null
-        // Parts come and go while the instances stay the same.
         if (positionByPart.size >= MAX_PARTS) positionByPart.clear()
         return positionByPart.getOrPut(part) { ids.indices.maxBy { rendezvousWeight(part, ids[it]) } }
     }
 
     private companion object {
+        /** Bounds the memory for parts that are no longer in use. */
         const val MAX_PARTS = 4_096
     }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/UpstreamClient.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/UpstreamClient.kt
@@ -13,11 +13,10 @@
 import io.ktor.client.plugins.sse.SSEClientException
 import io.ktor.client.plugins.sse.sse
 import io.ktor.client.request.HttpRequestBuilder
-import io.ktor.client.request.get
 import io.ktor.client.request.header
+import io.ktor.client.request.prepareGet
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.HttpResponse
-import io.ktor.client.statement.bodyAsBytes
 import io.ktor.http.HttpMethod
 import io.ktor.http.HttpStatusCode
 import io.ktor.http.encodedPath
@@ -28,6 +27,7 @@
 import io.teaselspring.daemon.http.forCaller
 import io.teaselspring.daemon.http.forUpstream
 import io.teaselspring.daemon.http.toHeaderList
+import io.teaselspring.ports.readBody
 import io.teaselspring.protocol.Header
 import io.teaselspring.protocol.Message
 import kotlinx.coroutines.CancellationException
@@ -48,6 +48,10 @@
 private const val STALL_FACTOR = 20
 private val MIN_STALL_TIMEOUT = 3.seconds
 
+/** Limits of bodies that are read as a whole; a faulty upstream may send without end. */
+private const val MAX_HEALTH_BODY_BYTES = 64 * 1024
+private const val MAX_ERROR_BODY_BYTES = 256 * 1024
+
 /** Request headers that would change the format of an event stream, or that the client sets itself. */
 private val HEADERS_NOT_FORWARDED_FOR_STREAMS = setOf("accept", "accept-encoding", "cache-control")
 
@@ -83,7 +87,11 @@
     /** True if the upstream responds to its health check with success within [timeout]. */
     suspend fun isHealthy(timeout: Duration): Boolean =
         try {
-            withTimeoutOrNull(timeout) { client.get("$baseUrl/healthz").status.isSuccess() } ?: false
+            withTimeoutOrNull(timeout) {
+                client.prepareGet("$baseUrl/healthz").execute {
+                    it.status.isSuccess() && it.readBody(MAX_HEALTH_BODY_BYTES) != null
+                }
+            } ?: false
         } catch (e: CancellationException) {
             throw e
         } catch (_: Exception) {
@@ -168,9 +176,14 @@
         return when {
             isRefusal -> RunResult.RefusedByUpstream(retryAfterMs(response))
             status.value in 400..499 && attempt.nextOffset == 0L -> {
-                attempt.sendStarted(response)
-                response.bodyAsBytes().takeIf { it.isNotEmpty() }?.let { attempt.sendChunk(it) }
-                RunResult.Complete
+                val body = response.readBody(MAX_ERROR_BODY_BYTES)
+                if (body == null) {
+                    RunResult.Broken("error body over $MAX_ERROR_BODY_BYTES bytes")
+                } else {
+                    attempt.sendStarted(response)
+                    if (body.isNotEmpty()) attempt.sendChunk(body)
+                    RunResult.Complete
+                }
             }
             else -> RunResult.Broken("the upstream answered ${status.value} instead of an event stream")
         }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
@@ -113,12 +113,12 @@
     private fun skipHead() {
         isSkipping = true
         skippedHeads += 1
-        if (skippedHeads > MAX_SKIPPED_HEADS) fail("more than $MAX_SKIPPED_HEADS responses to other requests")
+        if (skippedHeads > MAX_SKIPPED_HEADS) fail("more than $MAX_SKIPPED_HEADS heads before the response")
     }
 
     private fun skipBody(content: HttpContent) {
         skippedBytes += content.content().readableBytes()
-        if (skippedBytes > MAX_SKIPPED_BYTES) fail("more than $MAX_SKIPPED_BYTES bytes for other requests")
+        if (skippedBytes > MAX_SKIPPED_BYTES) fail("more than $MAX_SKIPPED_BYTES bytes before the response")
     }
 
     private fun onContent(content: HttpContent) {
--- a/ports/src/main/kotlin/io/teaselspring/ports/HttpPlatform.kt
+++ b/ports/src/main/kotlin/io/teaselspring/ports/HttpPlatform.kt
@@ -13,17 +13,17 @@
 import io.ktor.client.engine.cio.CIO
 import io.ktor.client.plugins.HttpTimeout
 import io.ktor.client.request.HttpRequestBuilder
-import io.ktor.client.request.request
+import io.ktor.client.request.prepareRequest
 import io.ktor.client.request.setBody
 import io.ktor.client.request.url
 import io.ktor.client.statement.HttpResponse
-import io.ktor.client.statement.bodyAsBytes
 import io.ktor.http.HttpMethod
 import io.ktor.http.HttpStatusCode
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.sync.withPermit
+import java.io.IOException
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -42,6 +42,9 @@
     val backoff: Backoff = Backoff(),
 )
 
+/** Limit of a response body. The largest object, the snapshot of the configuration, has a few MB at the design size. */
+private const val MAX_BODY_BYTES = 16 * 1024 * 1024
+
 /** The platform interfaces with the HTTP client that they share; closing it closes the client. */
 public class HttpPlatform internal constructor(
     public val platform: Platform,
@@ -161,13 +164,13 @@
         inFlight
             .withPermit {
                 Either.catch {
-                    val response =
-                        client.request {
+                    val statement =
+                        client.prepareRequest {
                             url(settings.baseUrl + path)
                             this.method = method
                             configure()
                         }
-                    response.toPlatformResponse()
+                    statement.execute { it.toPlatformResponse() }
                 }
             }.mapLeft { toPlatformError(step, it) }
             .flatMap { serverErrorOrNull(step, it)?.left() ?: it.right() }
@@ -176,7 +179,7 @@
         PlatformResponse(
             status.value,
             headers["ETag"]?.trim('"'),
-            bodyAsBytes(),
+            readBody(MAX_BODY_BYTES) ?: throw IOException("response body over $MAX_BODY_BYTES bytes"),
             isWrite = call.request.method != HttpMethod.Get,
         )
 
--- a/ports/src/test/kotlin/io/teaselspring/ports/HttpPlatformTest.kt
+++ b/ports/src/test/kotlin/io/teaselspring/ports/HttpPlatformTest.kt
@@ -4,6 +4,7 @@
 import arrow.core.right
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.ktor.http.ContentType
@@ -21,9 +22,13 @@
 import io.ktor.server.routing.routing
 import kotlinx.serialization.json.JsonPrimitive
 import java.net.ServerSocket
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 import kotlin.time.Duration.Companion.milliseconds
 
+private const val MAX_SENT_BYTES = 40L * 1024 * 1024
+private const val CHUNK_BYTES = 0x10000
+
 private val shortBackoff = Backoff(1.milliseconds, 2.milliseconds)
 
 /** Runs [use] against a server that sends [response] for every path, and returns the recorded requests. */
@@ -76,6 +81,32 @@
     return connections
 }
 
+/** Runs [use] against a server that sends a body without end, and returns how many bytes it could send. */
+private suspend fun withServerSendingWithoutEnd(use: suspend (Platform) -> Unit): Long {
+    val sentBytes = AtomicLong()
+    ServerSocket(0).use { socket ->
+        thread(isDaemon = true) {
+            while (!socket.isClosed) {
+                runCatching {
+                    socket.accept().use {
+                        it.getInputStream().read(ByteArray(4096))
+                        val output = it.getOutputStream()
+                        output.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".toByteArray())
+                        val chunk = "10000\r\n${"a".repeat(CHUNK_BYTES)}\r\n".toByteArray()
+                        while (true) {
+                            output.write(chunk)
+                            if (sentBytes.addAndGet(chunk.size.toLong()) > MAX_SENT_BYTES) Thread.sleep(1)
+                        }
+                    }
+                }
+            }
+        }
+        val settings = HttpPlatformSettings("http://127.0.0.1:${socket.localPort}", readAttempts = 1)
+        httpPlatform(settings).use { use(it.platform) }
+    }
+    return sentBytes.get()
+}
+
 // Guards against a lost response that counts as "not applied", and against a write that is sent twice.
 class HttpPlatformTest :
     FunSpec({
@@ -103,6 +134,18 @@
             }
         }
 
+        // Without a limit the body takes all memory until the timeout of the call.
+        test("a response body without end is given up early") {
+            val sentBytes =
+                withServerSendingWithoutEnd { platform ->
+                    platform.objects
+                        .get("k")
+                        .leftOrNull()
+                        .shouldBeInstanceOf<PlatformError.Unavailable>()
+                }
+            sentBytes shouldBeLessThan MAX_SENT_BYTES
+        }
+
         test("a write is unavailable after status 503, and ambiguous and sent once after status 500") {
             withServer({ call.respondText("", status = HttpStatusCode.ServiceUnavailable) }) { platform ->
                 platform.objects
