Log and count how the responses of instances end

The line now has framing= (length, chunked, until_close), events= and inside_event=, and teaselspring_response_ends_total counts responses by framing and by what had arrived at their end. EventBoundaries follows each stream with a few flags; it knows all line ends of server-sent events. No decision uses it yet.

EventBoundariesTest: 16 cases, each split into pieces of every size.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
@@ -11,6 +11,7 @@
     private val writer: ResponseWriter,
 ) {
     private var framer: EventFramer? = null
+    private val boundaries = EventBoundaries()
 
     /** Whether the caller has received the head. */
     var hasBegun = false
@@ -20,6 +21,12 @@
     var firstEventAtMs: Long? = null
         private set
 
+    /** Number of complete events that have arrived. */
+    val completeEvents: Long get() = boundaries.completeEvents
+
+    /** Whether what has arrived ends within an event. */
+    val isInsideEvent: Boolean get() = boundaries.isInsideEvent
+
     /** Id of the last complete event of a resumable stream. */
     val lastEventId: String? get() = framer?.lastEventId
 
@@ -45,6 +52,7 @@
         nowMs: Long,
     ): Boolean {
         if (firstEventAtMs == null) firstEventAtMs = nowMs
+        boundaries.add(chunk)
         val framer = framer
         if (framer == null) writer.writeBody(chunk.retain()) else framer.add(chunk)?.let { writer.writeBody(it) }
         return framer?.isOversized != true
@@ -53,5 +61,6 @@
     /** Drops the part of an event that another instance sends again in whole. */
     fun dropPartial() {
         framer?.dropPartial()
+        boundaries.dropPartial()
     }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
@@ -27,6 +27,13 @@
             .help("Offers to upstream instances by upstream and outcome")
             .labelNames("upstream", "outcome")
             .register(registry)
+    private val responseEnds =
+        Counter
+            .builder()
+            .name("teaselspring_response_ends_total")
+            .help("Ends of responses of instances by upstream, framing of the body, and what had arrived")
+            .labelNames("upstream", "framing", "end")
+            .register(registry)
     private val responseSeconds =
         Histogram
             .builder()
@@ -73,6 +80,12 @@
         outcome: String,
     ) = attempts.labelValues(upstream, outcome).inc()
 
+    fun responseEnded(
+        upstream: String,
+        framing: String,
+        end: String,
+    ) = responseEnds.labelValues(upstream, framing, end).inc()
+
     fun responded(
         route: String,
         after: Duration,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -12,10 +12,12 @@
 import io.netty.handler.codec.http.HttpStatusClass
 import io.teaselspring.core.placement.ReportedLoad
 import io.teaselspring.core.routing.RouteKind
+import io.teaselspring.daemon.http.BodyFraming
 import io.teaselspring.daemon.http.Exchange
 import io.teaselspring.daemon.http.ExchangeListener
 import io.teaselspring.daemon.http.MAX_BUFFERED_BODY_BYTES
 import io.teaselspring.daemon.http.OutgoingRequest
+import io.teaselspring.daemon.http.bodyFraming
 
 /** Skips validation: the headers come from the HTTP decoder, which has validated them. */
 private val uncheckedHeaders = DefaultHttpHeadersFactory.headersFactory().withValidation(false)
@@ -54,6 +56,10 @@
     private var buffered: BufferedResponse? = null
     private var isStreaming = false
     private var isUsageRecorded = false
+
+    /** How the end of the response's body is marked; null before its head. */
+    var framing: BodyFraming? = null
+        private set
     private var isFinished = false
     private var isPrefilling = prefillTokens > 0
 
@@ -126,6 +132,7 @@
         val now = gateway.nowMs()
         instance.recordActivity(now)
         parseLoad(response.headers()[names.load])?.let { instance.load.record(it, now) }
+        framing = response.bodyFraming(execution.method)
         val headers = uncheckedHeaders.newHeaders()
         response.headers().iteratorCharSequence().forEach { (name, value) ->
             if (name.toString().lowercase() !in HeaderNames.perConnection) headers.add(name, value)
@@ -152,6 +159,7 @@
 
     override fun end() {
         finish()
+        recordResponseEnd(isBroken = false)
         val response = buffered
         when {
             response == null -> execution.attemptFailed("no answer", null)
@@ -176,6 +184,17 @@
         }
     }
 
+    private fun recordResponseEnd(isBroken: Boolean) {
+        val end = execution.responseEnd() ?: return
+        val label =
+            when {
+                end.isInsideEvent == true -> "inside_event"
+                end.events == 0L -> "no_event"
+                else -> "whole"
+            }
+        gateway.metrics.responseEnded(authorised.upstream.value, end.framing.label, if (isBroken) "broken" else label)
+    }
+
     private fun recordSuccess() {
         gateway.metrics.attempt(authorised.upstream.value, "answered")
         instance.recordSuccess()
@@ -195,6 +214,7 @@
 
     override fun broken(reason: String) {
         finish()
+        recordResponseEnd(isBroken = true)
         recordUsage()
         gateway.metrics.attempt(authorised.upstream.value, "broken")
         instance.recordFailure(gateway.nowMs(), reason)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -7,6 +7,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.util.concurrent.ScheduledFuture
 import io.teaselspring.core.routing.RoutingConfig
@@ -34,6 +35,9 @@
     private var deadlineMs = Long.MAX_VALUE
     private var timeout: ScheduledFuture<*>? = null
     private var attempt: InstanceAttempt? = null
+
+    /** The method of the request; the framing of a response depends on it. */
+    val method: HttpMethod get() = request.method
     private val stream = ForwardedStream(writer)
     private var isFinished = false
     private var queueId: Long? = null
@@ -166,8 +170,8 @@
         val canRetry = route.isRepeatable && attempts.counted < route.maxAttempts && gateway.nowMs() < deadlineMs
         if (canRetry && acquireRetry()) {
             failure?.release()
-            stream.dropPartial()
             log("call_retried", reason)
+            stream.dropPartial()
             tryNextInstance()
         } else if (failure != null && !stream.hasBegun) {
             recordResponse("failed_by_upstream", failure.status.code())
@@ -272,12 +276,12 @@
         isFinished = true
         queueId?.let { gateway.queues.remove(authorised.upstream, it) }
         timeout?.cancel(false)
-        stream.dropPartial()
         gateway.metrics.request(if (::authorised.isInitialized) authorised.route.name else "none", outcome)
         stream.firstEventAtMs?.let {
             gateway.metrics.streamEnded(authorised.route.name, outcome, (gateway.nowMs() - it).milliseconds)
         }
         log("call_ended", reason, outcome)
+        stream.dropPartial()
         request.body.release()
     }
 
@@ -288,10 +292,21 @@
     ) {
         val known = if (::authorised.isInitialized) authorised else null
         val firstEventMs = stream.firstEventAtMs?.let { it - arrivedMs }
-        val details = RequestLogDetails(reason, outcome, attempts.tried, gateway.nowMs() - arrivedMs, firstEventMs)
+        val afterMs = gateway.nowMs() - arrivedMs
+        val details = RequestLogDetails(reason, outcome, attempts.tried, afterMs, firstEventMs, responseEnd())
         gateway.logRequest(event, requestId, known, details)
     }
 
+    /** How the response of the running or last attempt ended, or what has arrived of it; null before its head. */
+    fun responseEnd(): ResponseEnd? =
+        attempt?.framing?.let { framing ->
+            if (stream.hasBegun) {
+                ResponseEnd(framing, stream.completeEvents, stream.isInsideEvent)
+            } else {
+                ResponseEnd(framing, events = null, isInsideEvent = null)
+            }
+        }
+
     private companion object {
         /** Limit of attempts for a request that no instance has received, for example because connections fail. */
         const val MAX_INSTANCES_TRIED = 4
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestLog.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestLog.kt
@@ -4,6 +4,7 @@
 package io.teaselspring.daemon.gateway
 
 import io.teaselspring.core.InstanceId
+import io.teaselspring.daemon.http.BodyFraming
 import org.slf4j.LoggerFactory
 
 private val log = LoggerFactory.getLogger("io.teaselspring.daemon.calls")
@@ -18,6 +19,17 @@
     val attempted: Set<InstanceId>,
     val afterMs: Long,
     val firstEventMs: Long?,
+    val responseEnd: ResponseEnd?,
+)
+
+/**
+ * The end of the last response of an instance: how the end of its body was marked, and for a stream the events that had
+ * arrived and whether it ended within another one.
+ */
+internal class ResponseEnd(
+    val framing: BodyFraming,
+    val events: Long?,
+    val isInsideEvent: Boolean?,
 )
 
 /**
@@ -31,7 +43,8 @@
     details: RequestLogDetails,
 ) = log.info(
     "event={} request={} outcome={} reason=\"{}\" route={} organisation={} priority={} upstream={}" +
-        " instances={} config={} config_age_ms={} after_ms={} first_event_ms={}",
+        " instances={} config={} config_age_ms={} after_ms={} first_event_ms={}" +
+        " framing={} events={} inside_event={}",
     event,
     requestId,
     details.outcome,
@@ -45,6 +58,9 @@
     if (authorised == null) config.ageMs() else authorised.configAgeMs,
     details.afterMs,
     details.firstEventMs,
+    details.responseEnd?.framing?.label,
+    details.responseEnd?.events,
+    details.responseEnd?.isInsideEvent,
 )
 
 /**
