Complete a stream only where it ends between events

Callers saw streams that may not be resumed end with a last chunk and a short body after their instance had broken them off.

Cause: a body without a length or chunks ends with its connection, and the HTTP decoder reports that end like any other. An instance that crashes closes its connections in order, so the end of the connection proves nothing. Only resumable streams were split into events, and only those were checked for an unfinished one.

The case of a resumed stream whose second response ends before its events was added with the fix.

Change: an end within an event, of any stream and however it is framed, is an attempt that broke off: the stream is resumed or the caller's connection is closed, the instance is ejected, and the retry budget is not credited. A stream that ends with its connection before its first event is broken off as well. Bodies that state another content type than events are left to their framing. The bytes are forwarded as before; a stream that may not be resumed costs a few flags.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
@@ -1,16 +1,20 @@
 /*
  * The part of a stream that the caller has received. A resumable stream is forwarded in whole events, so that it can
- * continue on another instance after the last one.
+ * continue on another instance after the last one. Any other stream is forwarded as it arrives; in both cases an end
+ * within an event shows that the instance has broken the stream off.
  */
 package io.teaselspring.daemon.gateway
 
 import io.netty.buffer.ByteBuf
+import io.teaselspring.daemon.http.BodyFraming
 
 /** A stream that is forwarded to [writer], possibly from several instances in turn. */
 internal class ForwardedStream(
     private val writer: ResponseWriter,
 ) {
     private var framer: EventFramer? = null
+    private var isEventStream = true
+    private var eventsOfEarlierResponses = 0L
     private val boundaries = EventBoundaries()
 
     /** Whether the caller has received the head. */
@@ -30,8 +34,14 @@
     /** Id of the last complete event of a resumable stream. */
     val lastEventId: String? get() = framer?.lastEventId
 
-    /** Whether a part of an event waits for its rest. */
-    val hasPartial: Boolean get() = framer?.hasPartial == true
+    /**
+     * Whether the stream may end here. An instance that crashes closes its connection, which is also how a body without
+     * length and chunks ends ([framing]), so such a stream is not complete within an event, nor before its first event.
+     */
+    fun isCompleteAtEnd(framing: BodyFraming): Boolean =
+        !isEventStream || (!isInsideEvent && (hasNewEvents || framing != BodyFraming.UNTIL_CLOSE))
+
+    private val hasNewEvents: Boolean get() = completeEvents > eventsOfEarlierResponses
 
     /** Sends the head of [response] to the caller. */
     fun begin(
@@ -39,7 +49,8 @@
         isResumable: Boolean,
     ) {
         hasBegun = true
-        if (isResumable) framer = EventFramer()
+        isEventStream = response.headers["Content-Type"]?.startsWith(EVENT_STREAM, ignoreCase = true) ?: true
+        if (isResumable && isEventStream) framer = EventFramer()
         writer.writeHead(response.status, response.headers)
     }
 
@@ -58,9 +69,14 @@
         return framer?.isOversized != true
     }
 
-    /** Drops the part of an event that another instance sends again in whole. */
+    /** The response has broken off: drops the part of an event that the next one sends again in whole. */
     fun dropPartial() {
+        eventsOfEarlierResponses = completeEvents
         framer?.dropPartial()
         boundaries.dropPartial()
     }
+
+    private companion object {
+        const val EVENT_STREAM = "text/event-stream"
+    }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -161,8 +161,9 @@
         finish()
         recordResponseEnd(isBroken = false)
         val response = buffered
+        val framing = framing
         when {
-            response == null -> execution.attemptFailed("no answer", null)
+            response == null || framing == null -> execution.attemptFailed("no answer", null)
             isNotRun() -> {
                 val reason = "status ${response.status.code()}"
                 gateway.metrics.attempt(authorised.upstream.value, "not_run")
@@ -174,7 +175,7 @@
                     execution.attemptNotRun(reason, sent = true, response.headers["Retry-After"])
                 }
             }
-            isStreaming -> if (execution.completeStream()) recordSuccess() else broken("stream ends within an event")
+            isStreaming -> if (execution.completeStream(framing)) recordSuccess() else recordBroken("stream broken off")
             isSuccess() -> {
                 recordUsage()
                 recordSuccess()
@@ -215,6 +216,10 @@
     override fun broken(reason: String) {
         finish()
         recordResponseEnd(isBroken = true)
+        recordBroken(reason)
+    }
+
+    private fun recordBroken(reason: String) {
         recordUsage()
         gateway.metrics.attempt(authorised.upstream.value, "broken")
         instance.recordFailure(gateway.nowMs(), reason)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -13,6 +13,7 @@
 import io.teaselspring.core.routing.RoutingConfig
 import io.teaselspring.core.routing.RoutingDecision
 import io.teaselspring.core.routing.pickUpstream
+import io.teaselspring.daemon.http.BodyFraming
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -196,9 +197,9 @@
     /** Forwards [chunk] of the stream; the attempt keeps its ownership. Returns false if an event is too large. */
     fun streamChunk(chunk: ByteBuf): Boolean = stream.forward(chunk, gateway.nowMs())
 
-    /** Completes the response after the instance ended the stream; returns false if it ended within an event. */
-    fun completeStream(): Boolean {
-        if (stream.hasPartial) return false
+    /** Completes the response after the instance ended the stream; returns false if the stream was broken off. */
+    fun completeStream(framing: BodyFraming): Boolean {
+        if (!stream.isCompleteAtEnd(framing)) return false
         gateway.retryBudget(authorised.upstream).succeeded(authorised.organisation, gateway.nowMs())
         finish("answered", "200")
         writer.end()
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/TruncatedStreamTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/TruncatedStreamTest.kt
@@ -116,6 +116,16 @@
             }
         }
 
+        // The events of the first response say nothing about the end of the second one.
+        test("a resumed stream whose second response ends before its events does not end as complete") {
+            val breaking = untilClose("id: 1\ndata: a\n\nid: 2\nda")
+            val silent = untilClose()
+            withGateway(breaking, silent) {
+                repeat(12) { call(RESUMED).isEndedByLastChunk() shouldBe false }
+                breaking.requests.value.size shouldBeGreaterThan 0
+            }
+        }
+
         test("a chunked stream whose last chunk comes inside an event does not end as complete") {
             val instance =
                 ScriptedUpstream { request, output ->
