Split resumable streams at all line ends of server-sent events

A resumable stream whose lines end with CR never had a complete event for the entry: nothing was forwarded before its end, which then counted as broken off. EventFramer looked for LF and CR LF only; it now uses EventBoundaries, as all streams do, and each byte is looked at once.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
@@ -50,7 +50,7 @@
     ) {
         hasBegun = true
         isEventStream = response.headers["Content-Type"]?.startsWith(EVENT_STREAM, ignoreCase = true) ?: true
-        if (isResumable && isEventStream) framer = EventFramer()
+        if (isResumable && isEventStream) framer = EventFramer(boundaries)
         writer.writeHead(response.status, response.headers)
     }
 
@@ -63,9 +63,13 @@
         nowMs: Long,
     ): Boolean {
         if (firstEventAtMs == null) firstEventAtMs = nowMs
-        boundaries.add(chunk)
         val framer = framer
-        if (framer == null) writer.writeBody(chunk.retain()) else framer.add(chunk)?.let { writer.writeBody(it) }
+        if (framer == null) {
+            boundaries.add(chunk)
+            writer.writeBody(chunk.retain())
+        } else {
+            framer.add(chunk)?.let { writer.writeBody(it) }
+        }
         return framer?.isOversized != true
     }
 
