Don't take the end of a connection before the body for an empty body

TruncatedStreamTest, the case of a response that ends before its body, failed before and passes now.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
@@ -25,6 +25,7 @@
     private var listener: ExchangeListener? = null
     private var writeFuture: ChannelFuture? = null
     private var response: HttpResponse? = null
+    private var bodyBytes = 0L
     private var isSkipping = false
     private var skippedHeads = 0
     private var skippedBytes = 0L
@@ -51,6 +52,7 @@
         this.request = request
         this.listener = listener
         response = null
+        bodyBytes = 0
         isSkipping = false
         skippedHeads = 0
         skippedBytes = 0
@@ -122,16 +124,35 @@
     }
 
     private fun onContent(content: HttpContent) {
-        if (isSkipping) skipBody(content) else listener?.body(content.content())
+        if (isSkipping) {
+            skipBody(content)
+        } else {
+            bodyBytes += content.content().readableBytes()
+            listener?.body(content.content())
+        }
         if (content !is LastHttpContent) return
         if (isSkipping) {
             isSkipping = false
             return
         }
-        val cause = failure
+        val cause = failure ?: truncation()
         if (cause != null) fail(cause) else complete()
     }
 
+    /**
+     * Why the end of the connection is not the end of the body, or null. The connection ends in the same way when the
+     * server's process exits before the body, or when a reset is noticed while the request is written.
+     */
+    private fun truncation(): String? {
+        val method = request?.method ?: return null
+        return when {
+            response?.bodyFraming(method) != BodyFraming.UNTIL_CLOSE -> null
+            bodyBytes == 0L -> "connection closed before the body"
+            writeFuture?.isSuccess != true -> "connection closed while the request was written"
+            else -> null
+        }
+    }
+
     private fun complete() {
         val completed = listener ?: return
         val head = response
