Send streams to HTTP/1.0 callers without chunks, and reset broken ones

A caller that speaks HTTP/1.0 got the chunk sizes as part of the body. Without chunks the end of its connection is the end of the body, so a stream that breaks off has to be reset to look broken.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallerConnection.kt
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpHeaders
@@ -45,6 +46,7 @@
     private var execution: RequestHandle? = null
     private var isResponding = false
     private var keepAlive = true
+    private var acceptsChunks = true
     private var isClosing = false
     private var lastProgressMs = 0L
     private var hasReceivedRequest = false
@@ -131,6 +133,7 @@
             else -> {
                 requestHead = head
                 keepAlive = HttpUtil.isKeepAlive(head)
+                acceptsChunks = head.protocolVersion() >= HttpVersion.HTTP_1_1
                 partialBody = Unpooled.compositeBuffer(MAX_BODY_COMPONENTS)
                 if (HttpUtil.is100ContinueExpected(head)) {
                     channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
@@ -181,7 +184,9 @@
         headers: HttpHeaders,
     ) {
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers)
-        HttpUtil.setTransferEncodingChunked(response, true)
+        HttpUtil.setTransferEncodingChunked(response, acceptsChunks)
+        // Without chunks the end of the connection is the end of the body.
+        if (!acceptsChunks) keepAlive = false
         setConnection(headers)
         channel.write(response, channel.voidPromise())
     }
@@ -232,6 +237,8 @@
         isClosing = true
         execution = null
         isResponding = false
+        // Without chunks only a reset shows that the body is incomplete.
+        if (!acceptsChunks) channel.config().setOption(ChannelOption.SO_LINGER, 0)
         channel.close()
     }
 
