Detect and log crashes of instances with the prompt parts involved

An entry could not tell the crash of an instance from single connections that are reset, and its log named no part of a prompt, so the hypotheses of docs/incidents/2026-12-04-budget.md can't be told apart.

No decision uses it yet.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
@@ -41,7 +41,8 @@
     fun isCompleteAtEnd(framing: BodyFraming): Boolean =
         !isEventStream || (!isInsideEvent && (hasNewEvents || framing != BodyFraming.UNTIL_CLOSE))
 
-    private val hasNewEvents: Boolean get() = completeEvents > eventsOfEarlierResponses
+    /** Whether the current response has had a complete event. */
+    val hasNewEvents: Boolean get() = completeEvents > eventsOfEarlierResponses
 
     /** Sends the head of [response] to the caller. */
     fun begin(
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
@@ -34,6 +34,13 @@
             .help("Ends of responses of instances by upstream, framing of the body, and what had arrived")
             .labelNames("upstream", "framing", "end")
             .register(registry)
+    private val instanceCrashes =
+        Counter
+            .builder()
+            .name("teaselspring_instance_crashes_total")
+            .help("Instances that refused connections after a request broke off before its first event, by upstream")
+            .labelNames("upstream")
+            .register(registry)
     private val responseSeconds =
         Histogram
             .builder()
@@ -86,6 +93,8 @@
         end: String,
     ) = responseEnds.labelValues(upstream, framing, end).inc()
 
+    fun instanceCrashed(upstream: String) = instanceCrashes.labelValues(upstream).inc()
+
     fun responded(
         route: String,
         after: Duration,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -69,6 +69,7 @@
             entryCount::value,
             Random.Default::nextInt,
             InstanceMemory(scope, runtime.nowMs, platform.readMemory)::read,
+            runtime.connections::probe,
         )
     private val callers =
         CallerConnections(
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -220,6 +220,7 @@
     }
 
     private fun recordBroken(reason: String) {
+        if (!execution.hasNewEvents) gateway.crashes.attemptBrokeOff(instance.registered, execution.sharedParts)
         recordUsage()
         gateway.metrics.attempt(authorised.upstream.value, "broken")
         instance.recordFailure(gateway.nowMs(), reason)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -31,6 +31,9 @@
     private val requestId = request.headers[names.requestId].orEmpty()
     private val arrivedMs = gateway.nowMs()
     private val prompt = parsePromptParts(request.headers[names.promptParts])
+
+    /** Ids of the parts of the prompt that other requests share. */
+    val sharedParts: Set<String> = prompt.dropLast(1).mapTo(LinkedHashSet()) { it.id }
     private val attempts = RequestAttempts()
     private lateinit var authorised: AuthorisedRequest
     private var deadlineMs = Long.MAX_VALUE
@@ -40,6 +43,9 @@
     /** The method of the request; the framing of a response depends on it. */
     val method: HttpMethod get() = request.method
     private val stream = ForwardedStream(writer)
+
+    /** Whether the running or last attempt has had a complete event of a stream. */
+    val hasNewEvents: Boolean get() = stream.hasNewEvents
     private var isFinished = false
     private var queueId: Long? = null
 
@@ -123,7 +129,7 @@
     ) {
         val waitedMs = gateway.nowMs() - arrivedMs
         if (attempts.tried.isEmpty()) gateway.metrics.dispatched(authorised.route.name, waitedMs.milliseconds)
-        gateway.logDispatch(requestId, authorised, instance, uncachedTokens, waitedMs)
+        gateway.logDispatch(requestId, authorised, instance, DispatchedPrompt(sharedParts, uncachedTokens), waitedMs)
         attempts.begin(instance.registered.id)
         attempt =
             InstanceAttempt(gateway, this, authorised, instance, prompt.sumOf { it.tokens }, uncachedTokens).also {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestLog.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestLog.kt
@@ -63,25 +63,30 @@
     details.responseEnd?.isInsideEvent,
 )
 
-/**
- * Logs that the request [requestId] is offered to [instance], which this entry expects to prefill [uncachedTokens], and
- * the load that this entry knows of.
- */
+/** The ids of the shared parts of a prompt, and the tokens of it that an entry expects its instance to prefill. */
+internal class DispatchedPrompt(
+    val sharedParts: Set<String>,
+    val uncachedTokens: Long,
+)
+
+/** Logs that the request [requestId] is offered to [instance], its [prompt], and the load that this entry knows of. */
 internal fun Gateway.logDispatch(
     requestId: String,
     authorised: AuthorisedRequest,
     instance: UpstreamInstance,
-    uncachedTokens: Long,
+    prompt: DispatchedPrompt,
     waitedMs: Long,
 ) = log.info(
-    "event=call_dispatched request={} route={} upstream={} instance={} waited_ms={} uncached_tokens={}" +
+    "event=call_dispatched request={} route={} upstream={} instance={} waited_ms={} shared_parts={}" +
+        " uncached_tokens={}" +
         " own_calls={} reported_calls={} report_age_ms={} pending_prefill_tokens={} queued={}",
     requestId,
     authorised.route.name,
     authorised.upstream,
     instance.registered.id,
     waitedMs,
-    uncachedTokens,
+    prompt.sharedParts,
+    prompt.uncachedTokens,
     instance.load.ownRequests,
     instance.load.lastReport?.let { it.running + it.waiting },
     instance.load.reportAgeMs(nowMs()),
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioChannelOption
@@ -28,6 +29,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
 import jdk.net.ExtendedSocketOptions
+import java.net.ConnectException
 import java.net.InetSocketAddress
 import java.util.ArrayDeque
 import kotlin.time.Duration
@@ -102,12 +104,25 @@
         servers.values.forEach { it.closeExpired(now) }
     }
 
+    /** Opens and closes a connection to [address]; [onResult] is told whether the server's host refused it. */
+    fun probe(
+        address: String,
+        onResult: (isRefused: Boolean) -> Unit,
+    ) = open(
+        server(address),
+        onConnected = {
+            it.close()
+            onResult(false)
+        },
+        onFailed = { onResult(it is ConnectException && it !is ConnectTimeoutException) },
+    )
+
     internal fun now() = nowMs()
 
     internal fun open(
         server: ServerConnections,
         onConnected: (HttpConnection) -> Unit,
-        onFailed: (String) -> Unit,
+        onFailed: (Throwable?) -> Unit,
     ) {
         val connection = HttpConnection(server)
         val future =
@@ -130,7 +145,7 @@
                 ).connect(server.socketAddress)
         future.addListener(
             ChannelFutureListener {
-                if (it.isSuccess) onConnected(connection) else onFailed(it.cause()?.message ?: "cancelled")
+                if (it.isSuccess) onConnected(connection) else onFailed(it.cause())
             },
         )
     }
@@ -180,7 +195,7 @@
         connections.open(
             this,
             onConnected = { exchange.onConnected(it) { it.start(request, listener) } },
-            onFailed = { if (!exchange.isCancelled) listener.notSent(it) },
+            onFailed = { if (!exchange.isCancelled) listener.notSent(it?.message ?: "cancelled") },
         )
         return exchange
     }
