--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptEngine.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptEngine.kt
@@ -26,13 +26,15 @@
 
 /**
  * A request as an engine gets it; lower [priority] goes first. [onEvent] is told whether it was the last one. [onLost]
- * is called instead of further events if the engine crashes or [deadlineMs] passes.
+ * is called instead of further events if the engine crashes or [deadlineMs] passes. A request that [crashesEngine] does
+ * so in place of its first event.
  */
 class EngineRequest(
     val prompt: List<PromptPart>,
     val outputTokens: Int,
     val priority: Int,
     val deadlineMs: Long = Long.MAX_VALUE,
+    val crashesEngine: Boolean = false,
     val onLost: () -> Unit = {},
     val onEvent: (isLast: Boolean) -> Unit,
 )
@@ -60,7 +62,11 @@
     private var isStepping = false
 
     /** Number of crashes; steps that began before a crash have no effect. */
-    private var crashes = 0
+    var crashes = 0
+        private set
+
+    /** Called when a request has crashed the engine. */
+    var onCrashedByRequest: () -> Unit = {}
 
     /** False after a crash until [restart]. */
     var isUp = true
@@ -141,6 +147,11 @@
     }
 
     private fun produce(one: Running) {
+        if (one.request.crashesEngine) {
+            crash()
+            onCrashedByRequest()
+            return
+        }
         one.produced += 1
         one.ownTokens += 1
         val isLast = one.produced >= one.request.outputTokens
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptLoad.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptLoad.kt
@@ -52,6 +52,14 @@
     val forMs: Long,
 )
 
+/** Requests like those of the class [name], [perSecond] of them from [fromMs] on, with one more shared part. */
+data class AddedPart(
+    val name: String,
+    val part: PromptPart,
+    val perSecond: Double,
+    val fromMs: Long,
+)
+
 /** One request. [entry] is a number that the balancer drew. */
 class PromptRequest(
     val id: Long,
@@ -102,6 +110,27 @@
         }.sortedBy { it.arrivedMs }
 }
 
+/** The requests with the part of [added], in the order of their arrival. Their ids are negative. */
+fun drawRequests(
+    added: AddedPart,
+    seed: Long,
+    durationMs: Long,
+    classes: List<PromptClass>,
+    tokensPerEvent: Int,
+): List<PromptRequest> {
+    val profile = classes.single { it.name == added.name }
+    // The same class at the same seed has the same shared parts, so the requests differ in the added part only.
+    val drawn =
+        drawRequests(seed, durationMs, classes, listOf(Burst(added.name, MOST_FACTOR, 0, durationMs)), tokensPerEvent)
+    val random = Random(seed * SEED_STEP - 1)
+    val like = drawn.filter { it.profile.name == added.name && it.arrivedMs >= added.fromMs }
+    val share = added.perSecond / (profile.perSecond * MOST_FACTOR)
+    return like.filter { random.nextDouble() < share }.map {
+        val prompt = it.prompt.dropLast(1) + added.part + it.prompt.last()
+        PromptRequest(-it.id, it.profile, it.group, it.arrivedMs, prompt, it.outputTokens, it.entry)
+    }
+}
+
 private fun factor(
     bursts: List<Burst>,
     profile: PromptClass,
@@ -142,6 +171,7 @@
     return value.coerceIn(1.0, size.most).toLong()
 }
 
+private const val MOST_FACTOR = 4.0
 private const val SEED_STEP = 1_009L
 private const val SKEW = 0.3
 private const val MOST_PER_SECOND = 400.0
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenario.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenario.kt
@@ -13,6 +13,18 @@
     val forMs: Long,
 )
 
+/** Requests with the part of [added] crash their engine, which is back, empty, after [forMs]. */
+data class CrashingPart(
+    val added: AddedPart,
+    val forMs: Long,
+)
+
+/** Crashes of engines at set times, and those that requests cause. */
+data class EngineCrashes(
+    val timed: List<Crash> = emptyList(),
+    val byPart: CrashingPart? = null,
+)
+
 /** [engines] engines behind [entries] entries. Callers send a refused request once more if [callersReturn]. */
 class PromptScenario(
     val name: String,
@@ -23,7 +35,7 @@
     val bursts: List<Burst> = emptyList(),
     val entries: Int = 5,
     val durationMs: Long = 34_000,
-    val crashes: List<Crash> = emptyList(),
+    val crashes: EngineCrashes = EngineCrashes(),
     val callersReturn: Boolean = false,
     val policies: List<PromptPolicy> = listOf(queuePolicy(), prefixHash, leastLoaded),
 )
@@ -35,11 +47,19 @@
     private var firstMs: Long? = null
     private var lastMs = 0L
     private var longestEventGapMs = 0L
+    private val sentMs = ArrayList<Long>()
+
+    /** When it was sent to engines, in order. */
+    val sentAtMs: List<Long> get() = sentMs
     var isRefused = false
     var refusals = 0
     var isWhole = false
         private set
 
+    fun sent(nowMs: Long) {
+        sentMs += nowMs
+    }
+
     fun event(
         nowMs: Long,
         isLast: Boolean,
@@ -74,6 +94,8 @@
     val readTokens: Long,
     val preempted: Int,
     val outcomes: List<PromptOutcome>,
+    val crashing: CrashingRequests,
+    val quarantinedRequests: Int = 0,
 ) {
     val totalWorth: Double get() = worth.getValue(TOTAL)
 
@@ -82,6 +104,12 @@
     }
 }
 
+/** What became of the requests with a part that crashes engines, and the times of the crashes. */
+class CrashingRequests(
+    val outcomes: List<PromptOutcome>,
+    val crashedAtMs: List<Long>,
+)
+
 /** Runs [policy] on the requests of [seed]. */
 fun PromptScenario.run(
     policy: PromptPolicy,
@@ -90,7 +118,12 @@
     val loop = EventLoop()
     val fleet = List(engines) { PromptEngine(InstanceId("engine-$it"), loop, figures) }
     val outcomes = drawRequests(seed, durationMs, classes, bursts, figures.tokensPerEvent).map(::PromptOutcome)
-    val byRequest = outcomes.associateBy { it.request.id }
+    val crashing =
+        crashes.byPart
+            ?.let { drawRequests(it.added, seed, durationMs, classes, figures.tokensPerEvent).map(::PromptOutcome) }
+            .orEmpty()
+    val crashedAtMs = ArrayList<Long>()
+    val byRequest = (outcomes + crashing).associateBy { it.request.id }
     val routers = ArrayList<PromptRouter>()
 
     fun refuse(outcome: PromptOutcome) {
@@ -111,15 +144,22 @@
         val actions = EntryActions(send) { refuse(byRequest.getValue(it.id)) }
         routers += policy.router(loop, fleet.map { EntryInstanceView(it, loop) }, entries, actions)
     }
-    outcomes.map { it.request }.forEach { request ->
+    (outcomes + crashing).map { it.request }.forEach { request ->
         loop.at(request.arrivedMs) { routers[request.entry % entries].submit(request) }
     }
-    crashes.forEach { crash ->
+    crashes.timed.forEach { crash ->
         loop.at(crash.atMs) { fleet.take(crash.count).forEach { it.crash() } }
         loop.at(crash.atMs + crash.forMs) { fleet.take(crash.count).forEach { it.restart() } }
     }
+    fleet.forEach { engine ->
+        engine.onCrashedByRequest = {
+            crashedAtMs += loop.nowMs
+            val crash = engine.crashes
+            loop.after(checkNotNull(crashes.byPart).forMs * US_PER_MS) { if (engine.crashes == crash) engine.restart() }
+        }
+    }
     loop.runUntil(durationMs + classes.maxOf { it.deadlineMs })
-    return figuresOf(policy, outcomes, fleet)
+    return figuresOf(policy, outcomes, fleet, CrashingRequests(crashing, crashedAtMs))
 }
 
 /** Returns false if the engine did not accept the request. */
@@ -131,6 +171,7 @@
     prefillDone: () -> Unit,
 ): Boolean {
     val request = outcome.request
+    if (engine.engine.isUp) outcome.sent(loop.nowMs)
     val promptTokens = request.prompt.sumOf { it.tokens }
     engine.requestStarted(promptTokens, uncachedTokens)
     var isPrefilling = true
@@ -152,6 +193,7 @@
             request.outputTokens,
             request.profile.priority,
             request.arrivedMs + request.profile.deadlineMs,
+            crashesEngine = request.id < 0,
             onLost = ::end,
         ) { isLast ->
             outcome.event(loop.nowMs, isLast)
@@ -170,6 +212,7 @@
     policy: PromptPolicy,
     outcomes: List<PromptOutcome>,
     fleet: List<PromptEngine>,
+    crashing: CrashingRequests,
 ): PromptFigures {
     val byClass = outcomes.groupBy { it.request.profile.name }.mapValues { worthOf(it.value) }
     val windows = outcomes.groupBy { it.request.arrivedMs / WINDOW_MS }.values.map(::worthOf)
@@ -181,6 +224,7 @@
         fleet.sumOf { it.readTokens },
         fleet.sumOf { it.preempted },
         outcomes,
+        crashing,
     )
 }
 
