--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
@@ -44,6 +44,14 @@
     /** Whether the current response has had a complete event. */
     val hasNewEvents: Boolean get() = completeEvents > eventsOfEarlierResponses
 
+    /** How the last response ended, or what has arrived of it; its body has this [framing]. */
+    fun responseEnd(framing: BodyFraming): ResponseEnd =
+        if (hasBegun) {
+            ResponseEnd(framing, completeEvents, isInsideEvent)
+        } else {
+            ResponseEnd(framing, events = null, isInsideEvent = null)
+        }
+
     /** Sends the head of [response] to the caller. */
     fun begin(
         response: BufferedResponse,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -7,6 +7,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
@@ -52,6 +53,7 @@
     private val prefillTokens: Long,
 ) : ExchangeListener {
     private val names = gateway.settings.headers
+    private var method = HttpMethod.GET
     private var exchange: Exchange? = null
     private var buffered: BufferedResponse? = null
     private var isStreaming = false
@@ -70,6 +72,7 @@
         afterEventId: String?,
     ) {
         val now = gateway.nowMs()
+        method = request.method
         instance.requestStarted(promptTokens, now)
         instance.pendingPrefillTokens += prefillTokens
         val outgoing =
@@ -132,7 +135,7 @@
         val now = gateway.nowMs()
         instance.recordActivity(now)
         parseLoad(response.headers()[names.load])?.let { instance.load.record(it, now) }
-        framing = response.bodyFraming(execution.method)
+        framing = response.bodyFraming(method)
         val headers = uncheckedHeaders.newHeaders()
         response.headers().iteratorCharSequence().forEach { (name, value) ->
             if (name.toString().lowercase() !in HeaderNames.perConnection) headers.add(name, value)
@@ -186,7 +189,7 @@
     }
 
     private fun recordResponseEnd(isBroken: Boolean) {
-        val end = execution.responseEnd() ?: return
+        val end = framing?.let(execution.stream::responseEnd) ?: return
         val label =
             when {
                 end.isInsideEvent == true -> "inside_event"
@@ -221,7 +224,7 @@
 
     private fun recordBroken(reason: String) {
         if (promptTokens > 0) {
-            val suspects = if (execution.hasNewEvents) emptySet() else execution.sharedParts
+            val suspects = if (execution.stream.hasNewEvents) emptySet() else execution.sharedParts
             gateway.quarantine.attemptBrokeOff(instance.registered, suspects)
         }
         recordUsage()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
@@ -23,6 +23,9 @@
     /** The number of attempts that count towards the limit of the route. */
     val counted: Int get() = instances.size - misdirected
 
+    /** Whether so many instances were tried that no other is, also if none of them has received the request. */
+    val areExhausted: Boolean get() = instances.size >= MAX_INSTANCES_TRIED
+
     fun begin(instance: InstanceId) {
         instances += instance
     }
@@ -31,6 +34,10 @@
     fun recordMisdirected() {
         misdirected += 1
     }
+
+    private companion object {
+        const val MAX_INSTANCES_TRIED = 4
+    }
 }
 
 /** Chooses an instance for an attempt that no queue dispatches, or returns null if all instances are [tried]. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -7,7 +7,6 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.DefaultHttpHeaders
-import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.util.concurrent.ScheduledFuture
 import io.teaselspring.core.routing.RoutingConfig
@@ -40,12 +39,8 @@
     private var timeout: ScheduledFuture<*>? = null
     private var attempt: InstanceAttempt? = null
 
-    /** The method of the request; the framing of a response depends on it. */
-    val method: HttpMethod get() = request.method
-    private val stream = ForwardedStream(writer)
-
-    /** Whether the running or last attempt has had a complete event of a stream. */
-    val hasNewEvents: Boolean get() = stream.hasNewEvents
+    /** The stream that the caller receives, from all attempts. */
+    val stream = ForwardedStream(writer)
     private var isFinished = false
     private var queueId: Long? = null
 
@@ -141,13 +136,8 @@
 
     /** Refuses the request if its prompt has parts that crash instances, or if this entry does not know those yet. */
     private fun refuseQuarantined(): Boolean {
-        if (sharedParts.isEmpty()) return false
-        val remaining = gateway.quarantine.refusedFor(sharedParts)
-        when {
-            remaining != null -> refuse("prompt part in quarantine", remaining.inWholeSeconds.toString())
-            !gateway.quarantine.isKnown -> refuse("quarantine not read yet")
-            else -> return false
-        }
+        val refusal = gateway.quarantine.refusalOf(sharedParts) ?: return false
+        refuse(refusal.reason, refusal.retryAfter?.inWholeSeconds?.toString())
         return true
     }
 
@@ -159,7 +149,7 @@
     ) {
         if (sent && attempts.counted >= authorised.route.maxAttempts) {
             refuse("refused by upstream: $reason", retryAfter)
-        } else if (attempts.tried.size >= MAX_INSTANCES_TRIED || (sent && !acquireRetry())) {
+        } else if (attempts.areExhausted || (sent && !acquireRetry())) {
             refuse("no attempt left: $reason", retryAfter)
         } else {
             log("call_retried", "not run: $reason")
@@ -173,7 +163,7 @@
      */
     fun attemptMisdirected(reason: String) {
         attempts.recordMisdirected()
-        if (attempts.tried.size >= MAX_INSTANCES_TRIED || !acquireRetry()) {
+        if (attempts.areExhausted || !acquireRetry()) {
             refuse("no attempt left: $reason")
             return
         }
@@ -219,9 +209,9 @@
 
     /** Forwards [chunk] of the stream; the attempt keeps its ownership. Returns false if an event is too large. */
     fun streamChunk(chunk: ByteBuf): Boolean {
-        val hadEvents = hasNewEvents
+        val hadEvents = stream.hasNewEvents
         val isAccepted = stream.forward(chunk, gateway.nowMs())
-        if (!hadEvents && hasNewEvents) gateway.quarantine.recordResponse(sharedParts)
+        if (!hadEvents && stream.hasNewEvents) gateway.quarantine.recordResponse(sharedParts)
         return isAccepted
     }
 
@@ -323,22 +313,8 @@
         val known = if (::authorised.isInitialized) authorised else null
         val firstEventMs = stream.firstEventAtMs?.let { it - arrivedMs }
         val afterMs = gateway.nowMs() - arrivedMs
-        val details = RequestLogDetails(reason, outcome, attempts.tried, afterMs, firstEventMs, responseEnd())
+        val end = attempt?.framing?.let(stream::responseEnd)
+        val details = RequestLogDetails(reason, outcome, attempts.tried, afterMs, firstEventMs, end)
         gateway.logRequest(event, requestId, known, details)
     }
-
-    /** How the response of the running or last attempt ended, or what has arrived of it; null before its head. */
-    fun responseEnd(): ResponseEnd? =
-        attempt?.framing?.let { framing ->
-            if (stream.hasBegun) {
-                ResponseEnd(framing, stream.completeEvents, stream.isInsideEvent)
-            } else {
-                ResponseEnd(framing, events = null, isInsideEvent = null)
-            }
-        }
-
-    private companion object {
-        /** Limit of attempts for a request that no instance has received, for example because connections fail. */
-        const val MAX_INSTANCES_TRIED = 4
-    }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestQuarantine.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestQuarantine.kt
@@ -14,6 +14,12 @@
 
 private val log = LoggerFactory.getLogger("io.teaselspring.daemon.gateway")
 
+/** The refusal of a request for [reason], which ends after [retryAfter] if that is known. */
+internal class QuarantineRefusal(
+    val reason: String,
+    val retryAfter: Duration?,
+)
+
 /**
  * The quarantine of the entry [instance], whose reports are exchanged through [table] if it [isShared]. While
  * [storeNowMs] is unknown, nothing is recorded; no request is served before it is known.
@@ -38,12 +44,17 @@
     /** The quarantined sets of parts. */
     val quarantined: Set<Set<String>> get() = parts.quarantined
 
-    /** Whether the entry knows which parts the other entries have found to crash instances. */
-    val isKnown: Boolean get() = !isShared || reports.isLoaded
-
-    /** How long a request with [sharedParts] is refused from now on; null if it may be sent. */
-    fun refusedFor(sharedParts: Set<String>): Duration? =
-        storeNowMs()?.let { parts.refusedForMs(sharedParts, it) }?.milliseconds
+    /** Why a request with [sharedParts] is refused, and until when if that is known; null if it may be sent. */
+    fun refusalOf(sharedParts: Set<String>): QuarantineRefusal? {
+        if (sharedParts.isEmpty()) return null
+        val remainingMs = storeNowMs()?.let { parts.refusedForMs(sharedParts, it) }
+        return when {
+            remainingMs != null -> QuarantineRefusal("prompt part in quarantine", remainingMs.milliseconds)
+            // Other entries may have found a part to crash instances.
+            isShared && !reports.isLoaded -> QuarantineRefusal("quarantine not read yet", retryAfter = null)
+            else -> null
+        }
+    }
 
     /** Whether a repeat of a request with [sharedParts] may crash another instance. */
     fun isSuspected(sharedParts: Set<String>): Boolean = parts.isSuspected(sharedParts)
