Let operators end a quarantine by deleting its rows

An entry kept its own report when its row was deleted, so a quarantine of parts that are sound, or that a new version of the engines has made harmless, could be ended before its time only by a restart. PartQuarantineTest, the case of deleted rows: the entry that wrote the row drops its report as well. The case covered the other entries only before.

--- a/core/src/main/kotlin/io/teaselspring/core/quarantine/PartQuarantine.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/quarantine/PartQuarantine.kt
@@ -125,7 +125,10 @@
         if (isSuspected(parts)) update(atMs)
     }
 
-    /** Replaces the report of another entry; null if it has none any more. */
+    /**
+     * Replaces the report of an entry by the stored one, which is null if its row was deleted. Operators end a
+     * quarantine by deleting rows, so the own report is dropped then too.
+     */
     public fun replaceReport(
         from: String,
         report: CrashReport?,
@@ -133,7 +136,7 @@
     ) {
         if (from == reporter) {
             // After a restart the entry takes up the evidence of its earlier process.
-            if (ownReport.requests.isEmpty() && report != null) ownReport = report
+            if (report == null || ownReport.requests.isEmpty()) ownReport = report ?: CrashReport()
         } else if (report == null) {
             reports.remove(from)
         } else {
--- a/core/src/test/kotlin/io/teaselspring/core/quarantine/PartQuarantineTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/quarantine/PartQuarantineTest.kt
@@ -142,10 +142,10 @@
             entries.all.single().quarantined shouldBe setOf(setOf(BAD))
         }
 
-        test("the report of an entry that is removed no longer counts") {
+        test("reports whose rows are deleted no longer count, also for the entry that wrote them") {
             val entries = Entries(2)
             (1..3).forEach { entries.crash(0, it * 1_000L, setOf(BAD)) }
-            entries.all[1].replaceReport("entry-0", null, 4_000)
-            entries.all[1].refusedForMs(listOf(BAD), 4_000) shouldBe null
+            entries.all.forEach { it.replaceReport("entry-0", null, 4_000) }
+            entries.refuse(4_000, BAD).areAll(false) shouldBe true
         }
     })
