Bound the crash reports and the cost of applying them at scale

Responses are shared only for parts that one more crash would bring to the quarantine, 32 at most, and evidence is grouped by part in one pass.

--- a/core/src/main/kotlin/io/teaselspring/core/quarantine/PartQuarantine.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/quarantine/PartQuarantine.kt
@@ -12,9 +12,9 @@
 /**
  * Limits of the quarantine. A part is quarantined after [crashes] crashes. Crashes within [mergeMs] count as one, and
  * not at all if they are those of [commonCauseInstances] or more, because a rack or a data centre that fails takes down
- * many instances at once. A crash does not count against a part
- * with an event of a response later than [responseMs] before it. Evidence is dropped after [evidenceMs], since
- * instances get new versions, and each entry keeps the newest [maxRequests] requests and [maxParts] parts.
+ * many instances at once. A crash does not count against a part with an event of a response later than [responseMs]
+ * before it. Evidence is dropped after [evidenceMs], since instances get new versions. Each entry shares at most
+ * [maxRequests] requests and as many responses, and remembers the responses with [maxParts] parts.
  */
 public data class QuarantinePolicy(
     val crashes: Int = 3,
@@ -40,6 +40,9 @@
             override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, Long>) = size > policy.maxParts
         }
 
+    /** The latest response with a part that any report has. */
+    private var sharedResponses = HashMap<String, Long>()
+
     /** The crashed requests that count against each part; empty while no part is suspected. */
     private var evidence = emptyMap<String, Set<CrashedRequest>>()
 
@@ -153,14 +156,20 @@
     private fun update(nowMs: Long) {
         val all = reports.values + ownReport
         val recent = all.flatMap { it.requests }.filter { it.atMs > nowMs - policy.evidenceMs }
-        val requests = withoutCommonCauses(recent)
-        val suspects = requests.flatMapTo(LinkedHashSet()) { it.parts }
-        publishResponses(requests, suspects)
+        val implicated = LinkedHashMap<String, LinkedHashSet<CrashedRequest>>()
+        withoutCommonCauses(recent).forEach { request ->
+            request.parts.forEach { implicated.getOrPut(it, ::LinkedHashSet) += request }
+        }
+        sharedResponses = HashMap()
+        all.forEach { report ->
+            report.responses.forEach { (part, atMs) -> sharedResponses.merge(part, atMs, ::maxOf) }
+        }
         evidence =
-            suspects
-                .associateWith { part -> requests.filterTo(LinkedHashSet()) { part in it.parts && counts(it, part) } }
+            implicated
+                .mapValues { (part, requests) -> requests.filterTo(LinkedHashSet()) { counts(it, part) } }
                 .filterValues { it.isNotEmpty() }
         quarantined = convicted()
+        publishResponses(implicated)
     }
 
     /** An event after the crash, or shortly before it, shows that the part crashes nothing. */
@@ -168,24 +177,26 @@
         request: CrashedRequest,
         part: String,
     ): Boolean {
-        val reported = (reports.values + ownReport).maxOfOrNull { it.responses[part] ?: Long.MIN_VALUE }
-        val responded = maxOf(reported ?: Long.MIN_VALUE, respondedAtMs[part] ?: Long.MIN_VALUE)
+        val responded = maxOf(sharedResponses[part] ?: Long.MIN_VALUE, respondedAtMs[part] ?: Long.MIN_VALUE)
         return responded < request.atMs - policy.responseMs
     }
 
-    /** Shares a response only where it clears a part of evidence that the last one shared does not clear. */
-    private fun publishResponses(
-        requests: List<CrashedRequest>,
-        suspects: Set<String>,
-    ) {
-        val shared = ownReport.responses.filterKeys { it in suspects }.toMutableMap()
-        suspects.forEach { part ->
+    /**
+     * Shares a response only where it clears evidence that the shared ones do not clear, and only for parts near the
+     * quarantine: after the loss of a data centre nearly all parts are implicated once.
+     */
+    private fun publishResponses(implicated: Map<String, Set<CrashedRequest>>) {
+        val published = ownReport.responses.filterKeys { it in implicated }.toMutableMap()
+        implicated.forEach { (part, requests) ->
             val responded = respondedAtMs[part] ?: return@forEach
-            val newest = requests.filter { part in it.parts }.maxOf { it.atMs }
-            val isCleared = (shared[part] ?: Long.MIN_VALUE) >= newest - policy.responseMs
-            if (!isCleared && responded >= newest - policy.responseMs) shared[part] = responded
+            val clearsFromMs = requests.maxOf { it.atMs } - policy.responseMs
+            val isCleared = (sharedResponses[part] ?: Long.MIN_VALUE) >= clearsFromMs
+            if (isCleared || responded < clearsFromMs) return@forEach
+            if (countCrashes(requests) >= policy.crashes - 1) published[part] = responded
         }
-        if (shared != ownReport.responses) ownReport = ownReport.copy(responses = shared)
+        if (published == ownReport.responses) return
+        val newest = published.entries.sortedByDescending { it.value }.take(policy.maxRequests)
+        ownReport = ownReport.copy(responses = newest.associate { it.key to it.value })
     }
 
     /**
--- a/core/src/test/kotlin/io/teaselspring/core/quarantine/PartQuarantineTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/quarantine/PartQuarantineTest.kt
@@ -142,6 +142,18 @@
             entries.all.single().quarantined shouldBe setOf(setOf(BAD))
         }
 
+        // The loss of a data centre implicates nearly all parts once, and each row of the store has a limited size.
+        test("a report stays small although many parts are implicated and had responses") {
+            val entries = Entries(2)
+            repeat(2_000) { entries.all[0].recordResponse(listOf("part $it"), 20_000) }
+            repeat(2_000) { entries.all[1].recordCrash(InstanceId("i-$it"), listOf(setOf("part $it")), it * 300L) }
+            entries.all[0].replaceReport("entry-1", entries.all[1].ownReport, 20_000)
+            entries.all[0]
+                .ownReport.responses.size shouldBeLessThanOrEqual 32
+            entries.all[1]
+                .ownReport.requests.size shouldBeLessThanOrEqual 32
+        }
+
         test("reports whose rows are deleted no longer count, also for the entry that wrote them") {
             val entries = Entries(2)
             (1..3).forEach { entries.crash(0, it * 1_000L, setOf(BAD)) }
