Apply all changed crash reports at once, and correct the test of their size

Each of the reports that a poll brings was applied by itself, and the search for a common cause compared all crashes of the same moment with each other; with 330 entries that would hold the event loop for long after the loss of a rack. Reports are applied together, and the search ends at the third instance.

--- a/core/src/main/kotlin/io/teaselspring/core/quarantine/PartQuarantine.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/quarantine/PartQuarantine.kt
@@ -129,21 +129,22 @@
     }
 
     /**
-     * Replaces the report of an entry by the stored one, which is null if its row was deleted. Operators end a
-     * quarantine by deleting rows, so the own report is dropped then too.
+     * Replaces the reports of entries by the stored ones; null if the row was deleted. Operators end a quarantine by
+     * deleting rows, so the own report is dropped then too.
      */
-    public fun replaceReport(
-        from: String,
-        report: CrashReport?,
+    public fun replaceReports(
+        changes: Map<String, CrashReport?>,
         nowMs: Long,
     ) {
-        if (from == reporter) {
-            // After a restart the entry takes up the evidence of its earlier process.
-            if (report == null || ownReport.requests.isEmpty()) ownReport = report ?: CrashReport()
-        } else if (report == null) {
-            reports.remove(from)
-        } else {
-            reports[from] = report
+        changes.forEach { (from, report) ->
+            if (from == reporter) {
+                // After a restart the entry takes up the evidence of its earlier process.
+                if (report == null || ownReport.requests.isEmpty()) ownReport = report ?: CrashReport()
+            } else if (report == null) {
+                reports.remove(from)
+            } else {
+                reports[from] = report
+            }
         }
         update(nowMs)
     }
@@ -222,8 +223,8 @@
         return sorted.filter { request ->
             while (sorted[first].atMs < request.atMs - policy.mergeMs) first += 1
             while (end < sorted.size && sorted[end].atMs <= request.atMs + policy.mergeMs) end += 1
-            val together = sorted.subList(first, end).distinctBy { it.instance }
-            together.size < policy.commonCauseInstances
+            val together = sorted.subList(first, end).asSequence().distinctBy { it.instance }
+            together.take(policy.commonCauseInstances).count() < policy.commonCauseInstances
         }
     }
 
--- a/core/src/test/kotlin/io/teaselspring/core/quarantine/PartQuarantineTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/quarantine/PartQuarantineTest.kt
@@ -9,6 +9,12 @@
 private const val SHARED = "instructions"
 private const val BAD = "bad"
 
+private fun PartQuarantine.replaceReport(
+    from: String,
+    report: CrashReport?,
+    nowMs: Long,
+) = replaceReports(mapOf(from to report), nowMs)
+
 /** Entries that learn each other's reports at once. */
 private class Entries(
     count: Int,
@@ -144,14 +150,17 @@
 
         // The loss of a data centre implicates nearly all parts once, and each row of the store has a limited size.
         test("a report stays small although many parts are implicated and had responses") {
-            val entries = Entries(2)
-            repeat(2_000) { entries.all[0].recordResponse(listOf("part $it"), 20_000) }
-            repeat(2_000) { entries.all[1].recordCrash(InstanceId("i-$it"), listOf(setOf("part $it")), it * 300L) }
-            entries.all[0].replaceReport("entry-1", entries.all[1].ownReport, 20_000)
-            entries.all[0]
-                .ownReport.responses.size shouldBeLessThanOrEqual 32
-            entries.all[1]
-                .ownReport.requests.size shouldBeLessThanOrEqual 32
+            val entry = PartQuarantine("entry-0")
+            repeat(100) { reporter ->
+                val parts = List(32) { "part $reporter-$it" }
+                parts.forEach { entry.recordResponse(listOf(it), 20_000) }
+                val requests =
+                    parts.mapIndexed { at, part -> CrashedRequest(at * 600L, InstanceId("i-$at"), setOf(part)) }
+                entry.replaceReport("entry-${reporter + 1}", CrashReport(requests), 20_000)
+            }
+            entry.ownReport.responses.size shouldBeLessThanOrEqual 32
+            repeat(100) { entry.recordCrash(InstanceId("i-$it"), listOf(setOf("own part $it")), 30_000L + it * 600) }
+            entry.ownReport.requests.size shouldBeLessThanOrEqual 32
         }
 
         test("reports whose rows are deleted no longer count, also for the entry that wrote them") {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CrashReports.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CrashReports.kt
@@ -98,7 +98,7 @@
     ) {
         val now = storeNowMs() ?: return
         val before = quarantine.quarantined
-        changes.forEach { (from, report) -> quarantine.replaceReport(from, report, now) }
+        quarantine.replaceReports(changes, now)
         quarantineChanged(before)
     }
 
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/EntryQuarantines.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/EntryQuarantines.kt
@@ -61,7 +61,7 @@
         shared[from] = report
         loop.after(SHARE_US) {
             quarantines.forEachIndexed { entry, quarantine ->
-                if (entry != from) quarantine.replaceReport("entry-$from", report, loop.nowMs)
+                if (entry != from) quarantine.replaceReports(mapOf("entry-$from" to report), loop.nowMs)
                 share(entry)
             }
         }
