Resume streams that had events although their part has become suspected

A resumable stream that broke off after events was not resumed if a crash elsewhere had made its part suspected meanwhile, although a response that has begun shows that the request crashes nothing. Only requests without an event are held back now.

The follower of the crash reports moves from GatewayServer to CrashReports, unchanged.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CrashReports.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CrashReports.kt
@@ -12,9 +12,12 @@
 import io.teaselspring.core.quarantine.PartQuarantine
 import io.teaselspring.ports.TableStore
 import io.teaselspring.ports.TableWrite
+import io.teaselspring.ports.WatchedTable
 import io.teaselspring.ports.describe
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
@@ -110,6 +113,24 @@
         if (quarantine.ownReport != stored) changed.trySend(Unit)
     }
 
+    /**
+     * Follows [table] with long waits, because reports rarely change. The returned function starts the poll anew. It is
+     * called after an outage of a table with shorter waits, which notices a connection that went silent sooner.
+     */
+    fun follow(
+        table: WatchedTable<CrashReport>,
+        scope: CoroutineScope,
+        clock: () -> ClockReading,
+    ): () -> Unit {
+        val times = FollowTimes(wait = 10.seconds, interval = 100.milliseconds)
+        val follower = TableFollower("crashes", table, times, clock, this)
+        var job = scope.launch { follower.run() }
+        return {
+            job.cancel()
+            job = scope.launch { follower.run() }
+        }
+    }
+
     /** Stores the own report after each change, at most once in [interval]; retries after up to [maxRetryDelay]. */
     suspend fun run(
         interval: Duration = 150.milliseconds,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -8,7 +8,6 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.lease.ClockReading
-import io.teaselspring.core.quarantine.CrashReport
 import io.teaselspring.core.registry.RegisteredInstance
 import io.teaselspring.core.routing.CallerLimits
 import io.teaselspring.core.routing.RoutingConfig
@@ -17,7 +16,6 @@
 import io.teaselspring.daemon.usage.UsageReporter
 import io.teaselspring.daemon.usage.UsageTable
 import io.teaselspring.ports.UsageIntake
-import io.teaselspring.ports.WatchedTable
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -113,7 +111,10 @@
         gateway.config.onStale = { config.readNow(scope) }
         scope.launch { config.run() }
         scope.launch { registryFollower().run() }
-        platform.crashReports?.let { followCrashReports(it) }
+        platform.crashReports?.let {
+            onConfigOutageEnded = gateway.quarantine.reports.follow(it, scope, runtime.clock)
+            scope.launch { gateway.quarantine.reports.run() }
+        }
         scope.launch { housekeeping() }
         if (platform.usage != null) scope.launch { reportUsage(platform.usage) }
     }
@@ -144,21 +145,6 @@
         scope.launch { reporter.run(times.usageInterval) }
     }
 
-    /**
-     * Follows the crash reports with long waits, because they rarely change. A connection that went silent is noticed
-     * by the follower of the configuration, which polls more often, so this one starts anew after its outages.
-     */
-    private fun followCrashReports(table: WatchedTable<CrashReport>) {
-        val reports = gateway.quarantine.reports
-        val follower = TableFollower("crashes", table, CRASH_REPORT_TIMES, runtime.clock, reports)
-        var job = scope.launch { follower.run() }
-        onConfigOutageEnded = {
-            job.cancel()
-            job = scope.launch { follower.run() }
-        }
-        scope.launch { reports.run() }
-    }
-
     private suspend fun housekeeping(): Nothing {
         while (true) {
             delay(HOUSEKEEPING_INTERVAL)
@@ -293,7 +279,6 @@
     private companion object {
         val HOUSEKEEPING_INTERVAL = 500.milliseconds
         val REGISTRY_WATCH_WAIT = 2.seconds
-        val CRASH_REPORT_TIMES = FollowTimes(wait = 10.seconds, interval = 100.milliseconds)
         val DRAIN_CHECK_INTERVAL = 50.milliseconds
         val MIN_FINAL_FLUSH_TIME = 500.milliseconds
         val FLUSH_RETRY_INTERVAL = 250.milliseconds
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -178,10 +178,10 @@
     ) {
         attempts.mayHaveRun = true
         val route = authorised.route
-        // A repeat might crash another instance, and the caller's own repeats are refused once the cause is known.
-        val maySend = !gateway.quarantine.isSuspected(sharedParts)
+        // A request without an event may have crashed the instance, and its repeat may crash the next one.
+        val mayCrash = !stream.hasNewEvents && gateway.quarantine.isSuspected(sharedParts)
         val canRetry =
-            maySend && route.isRepeatable && attempts.counted < route.maxAttempts && gateway.nowMs() < deadlineMs
+            !mayCrash && route.isRepeatable && attempts.counted < route.maxAttempts && gateway.nowMs() < deadlineMs
         if (canRetry && acquireRetry()) {
             failure?.release()
             log("call_retried", reason)
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/CrashQuarantineTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/CrashQuarantineTest.kt
@@ -12,7 +12,10 @@
 import io.teaselspring.core.quarantine.CrashReport
 import io.teaselspring.core.quarantine.CrashedRequest
 import io.teaselspring.daemon.eventually
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import java.util.concurrent.CountDownLatch
 
 /** An instance whose process ends when it is to write a response to a prompt with the part "bad". */
 private fun crashing(): ScriptedUpstream {
@@ -74,6 +77,33 @@
             }
         }
 
+        // A response that has begun shows that the request does not crash instances, whatever is reported meanwhile.
+        test("a stream that had events is resumed although its part has become suspected since") {
+            val hasBegun = CountDownLatch(1)
+            val isReported = CountDownLatch(1)
+            val breaking =
+                ScriptedUpstream { request, output ->
+                    output.streamHead(request)
+                    output.chunk("id: 1\ndata: a\n\n")
+                    hasBegun.countDown()
+                    isReported.await()
+                    ConnectionAction.CLOSE
+                }
+            val reports = FakeWatchedTable<CrashReport>()
+            withGateway(breaking, crashReports = reports) {
+                coroutineScope {
+                    val response = async { ask("bad:10,own:5", RESUMED) }
+                    hasBegun.await()
+                    add("engine-1", ScriptedUpstream(::answer))
+                    delay(RESPONSE_MS)
+                    reports.set("entry-2", reportOf(STORE_START_MS + millisSinceStart()))
+                    delay(RESPONSE_MS)
+                    isReported.countDown()
+                    response.await() shouldContain "\r\n0\r\n"
+                }
+            }
+        }
+
         test(
             "an entry refuses a part that only others have seen crash instances, until it is cleared",
         ) {
