Log and count the limits that instances state

Entries now read the header of every response but 421, log each change, show the limit on the state page and count the attempts at limited instances. No decision uses it yet.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
@@ -41,6 +41,13 @@
             .help("Instances that refused connections after a request broke off before its first event, by upstream")
             .labelNames("upstream")
             .register(registry)
+    private val limitedAttempts =
+        Counter
+            .builder()
+            .name("teaselspring_limited_attempts_total")
+            .help("Attempts at instances that state a limit of requests a second, by upstream")
+            .labelNames("upstream")
+            .register(registry)
     private val responseSeconds =
         Histogram
             .builder()
@@ -95,6 +102,8 @@
 
     fun instanceCrashed(upstream: String) = instanceCrashes.labelValues(upstream).inc()
 
+    fun limitedAttempt(upstream: String) = limitedAttempts.labelValues(upstream).inc()
+
     fun responded(
         route: String,
         after: Duration,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -268,6 +268,7 @@
                                 put("draining", instance.registered.isDraining)
                                 put("own_calls", instance.load.ownRequests)
                                 put("pending_prefill_tokens", instance.pendingPrefillTokens)
+                                put("requests_per_second_limit", instance.limit.perSecond)
                             },
                         )
                     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -53,6 +53,7 @@
     private val prefillTokens: Long,
 ) : ExchangeListener {
     private val names = gateway.settings.headers
+    private var startedMs = 0L
     private var method = HttpMethod.GET
     private var exchange: Exchange? = null
     private var buffered: BufferedResponse? = null
@@ -72,8 +73,10 @@
         afterEventId: String?,
     ) {
         val now = gateway.nowMs()
+        startedMs = now
         method = request.method
         instance.requestStarted(promptTokens, now)
+        if (instance.limit.perSecond != null) gateway.metrics.limitedAttempt(authorised.upstream.value)
         instance.pendingPrefillTokens += prefillTokens
         val outgoing =
             OutgoingRequest(
@@ -135,6 +138,10 @@
         val now = gateway.nowMs()
         instance.recordActivity(now)
         parseLoad(response.headers()[names.load])?.let { instance.load.record(it, now) }
+        // Another process that answers at the address of the instance says nothing about the instance.
+        if (response.status() != HttpResponseStatus.MISDIRECTED_REQUEST) {
+            instance.recordLimit(response.headers().getAll(names.requestLimit), startedMs, now)
+        }
         framing = response.bodyFraming(method)
         val headers = uncheckedHeaders.newHeaders()
         response.headers().iteratorCharSequence().forEach { (name, value) ->
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -6,6 +6,7 @@
 
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.UpstreamName
+import io.teaselspring.core.limit.StatedLimit
 import io.teaselspring.core.placement.KnownLoad
 import io.teaselspring.core.placement.PlacementCandidate
 import io.teaselspring.core.placement.PrefixCacheEstimate
@@ -34,6 +35,7 @@
     private var failures = 0
     private var ejectedUntilMs = 0L
     val prefixCache = PrefixCacheEstimate()
+    val limit = StatedLimit()
 
     /** Applies a changed registry row of the same process. */
     fun update(row: RegisteredInstance) {
@@ -54,6 +56,25 @@
         lastActivityMs = nowMs
     }
 
+    /** Records the limit that the [headers] of a response state; its request was sent at [sentAtMs]. */
+    fun recordLimit(
+        headers: List<String>,
+        sentAtMs: Long,
+        nowMs: Long,
+    ) {
+        val before = limit.perSecond
+        limit.record(headers, sentAtMs, nowMs)
+        if (limit.perSecond == before) return
+        log.info(
+            "event=instance_limit_changed instance={} upstream={} requests_per_second={} before={} header=\"{}\"",
+            registered.id,
+            registered.upstream,
+            limit.perSecond,
+            before,
+            headers.joinToString(),
+        )
+    }
+
     fun recordSuccess() {
         failures = 0
         ejectedUntilMs = 0
