Keep the limits that instances state, over all entries together

What callers saw: nothing yet; an instance in need of rest, which had stated a limit of 1 request a second, got 12 to 15 in 4 s, and would have failed under them.

Cause: entries did not know the limit. Class of fault: a limit that holds for all entries together, kept by none or by each alone.

Change: a distributed rate limiter with leased shares (core.limit). The shares of an instance's limit stand in one row of the store, changed by compare-and-set, so their sum never exceeds the limit. An entry with requests takes a share, max-min fair, and sends at its rate through a bucket of one request that starts empty. The number of holders is bounded, so that saved requests stay within the rule's tolerance; with more entries than shares, shares rotate. Without the store for a lease's time each entry sends in short slots at half the limit over all. Entries announce limits and their ends through the table of the crash reports, so one that has had no response yet, or has just started, keeps them too. Placement and the queue leave out an instance without a permit, as they do ejected ones, but its partition and prefix home stay. All attempts go through InstanceAttempt.start, which takes the permit: first ones, retries, resumed streams, plain requests. A refusal says when a permit is due.

Why the sum of leases and not a part for each entry: with 330 entries a part of 1/s is one request in 330 s for each, and buckets that fill while idle send together, 4N + n in 4 s.

--- /dev/null
+++ b/core/src/main/kotlin/io/teaselspring/core/limit/InstanceLimit.kt
@@ -0,0 +1,271 @@
+/*
+ * Whether one entry may send a request to one instance that states a rate limit. The entry sends at the rate of its
+ * leased share of the limit ([RateShares]), by a token bucket that holds one request. Without the store it falls back
+ * to a small part of the limit, in short slots at a random phase, which needs no agreement.
+ */
+package io.teaselspring.core.limit
+
+import kotlin.random.Random
+
+/**
+ * Times and rates of shares. A share lasts [leaseMs] after its write was sent; its holder stops [safetyMs] sooner,
+ * which covers the error of the store's clock, and renews it every [renewMs]. An entry whose last request for the
+ * instance's upstream came more than [idleMs] ago does not renew. While all shares are taken, an entry tries again
+ * after [retryMs] to twice that, and after [retryMsPerEntry] for each entry if that is longer. If there are more
+ * entries than shares, a holder gives its share up after [tenureMs]. A write that lost a race is repeated after
+ * [conflictMs], doubled each time. A limit below [minPerSecond] counts as that, so that some request finds out when
+ * the limit ends. Without the store for [leaseMs], all entries together send at most [standaloneFraction] of the
+ * limit, each in slots of [slotMs].
+ */
+public data class LimitPolicy(
+    val leaseMs: Long = 8_000,
+    val safetyMs: Long = 500,
+    val renewMs: Long = 3_500,
+    val idleMs: Long = 3_000,
+    val retryMs: Long = 1_500,
+    val retryMsPerEntry: Long = 20,
+    val firstClaimMsPerEntry: Long = 10,
+    val conflictMs: Long = 40,
+    val tenureMs: Long = 10_000,
+    val minPerSecond: Double = 0.25,
+    val standaloneFraction: Double = 0.5,
+    val slotMs: Long = 500,
+)
+
+/** A row to write in order to get or give up a share. */
+public data class ShareClaim(
+    val row: RateShares,
+    val share: RateShare?,
+)
+
+/** How a claim ended without a share. */
+public enum class ClaimFailure { CONFLICT, UNAVAILABLE }
+
+/**
+ * The limit of one instance as the entry [holder], one of [entries], knows and keeps it. [demand] is the rate of the
+ * requests for the instance's upstream at this entry, which has [instances] instances. Times are monotonic milliseconds
+ * unless they are said to be the store's. Not thread-safe.
+ */
+public class InstanceLimit(
+    private val holder: String,
+    private val demand: ArrivalRate,
+    private val instances: () -> Int,
+    private val entries: () -> Int,
+    private val random: Random = Random.Default,
+    private val policy: LimitPolicy = LimitPolicy(),
+) {
+    private class HeldShare(
+        val perSecond: Double,
+        val limitPerSecond: Double,
+        val sinceMs: Long,
+        val untilMs: Long,
+    )
+
+    private val stated = StatedLimit()
+    private var held: HeldShare? = null
+    private var tokens = 0.0
+    private var tokensAtMs = 0L
+    private var nextClaimMs = 0L
+    private var isClaiming = false
+    private var storeContactMs = 0L
+    private var nextSlotMs = 0L
+    private var conflicts = 0
+    private var nextAnnouncementMs = 0L
+
+    /** Requests a second that the instance takes from all entries together, or null while it states no limit. */
+    public val perSecond: Double? get() = stated.perSecond
+
+    /** Records the limit's [headers] of a response to a request sent at [sentAtMs]; see [StatedLimit.record]. */
+    public fun recordResponse(
+        headers: List<String>,
+        sentAtMs: Long,
+        nowMs: Long,
+    ): Unit = change(nowMs) { stated.record(headers, sentAtMs, nowMs) }
+
+    /** Adopts what another entry has learned, at [storeMs] of the store's clock; see [StatedLimit.adopt]. */
+    public fun adopt(
+        announcement: LimitAnnouncement,
+        nowMs: Long,
+        storeMs: Long,
+    ): Unit = change(nowMs) { stated.adopt(announcement, nowMs, storeMs) }
+
+    /** Whether [isClaimDue] and [announcementDue] are to be asked from time to time. */
+    public val isActive: Boolean get() = perSecond != null || stated.isUnannounced
+
+    /** What to announce to the other entries now, or null. It is due again some time later unless it is adopted. */
+    public fun announcementDue(
+        nowMs: Long,
+        storeMs: Long,
+    ): LimitAnnouncement? {
+        if (nowMs < nextAnnouncementMs) return null
+        return stated.announcementDue(nowMs, storeMs)?.also { nextAnnouncementMs = nowMs + ANNOUNCEMENT_INTERVAL_MS }
+    }
+
+    private inline fun change(
+        nowMs: Long,
+        action: () -> Unit,
+    ) {
+        refill(nowMs)
+        val before = perSecond
+        action()
+        if (before == null && perSecond != null) {
+            held = null
+            storeContactMs = nowMs
+            conflicts = 0
+            // Entries learn of a limit at about the same time; their claims would conflict with each other.
+            nextClaimMs = nowMs + random.nextLong(policy.firstClaimMsPerEntry * entries() + 1)
+            nextSlotMs = nowMs + policy.leaseMs + (random.nextDouble() * standaloneIntervalMs()).toLong()
+        }
+    }
+
+    /** Whether the limit permits this entry to send a request now. */
+    public fun hasPermit(nowMs: Long): Boolean {
+        if (perSecond == null) return true
+        refill(nowMs)
+        return if (isShareValid(nowMs)) tokens >= 1 else isInSlot(nowMs)
+    }
+
+    /** Records that a request was sent to the instance. */
+    public fun requestStarted(nowMs: Long) {
+        if (perSecond == null) return
+        refill(nowMs)
+        if (isShareValid(nowMs)) tokens -= 1 else nextSlotMs += standaloneIntervalMs()
+    }
+
+    /** Estimates the time until this entry may send a request; 0 if it may now. */
+    public fun waitMs(nowMs: Long): Long {
+        val limit = effectiveLimit() ?: return 0
+        if (hasPermit(nowMs)) return 0
+        val rate = shareRate()
+        return if (isShareValid(nowMs) && rate > 0) {
+            ((1 - tokens) / rate * MS_PER_S).toLong()
+        } else {
+            maxOf(0, nextClaimMs - nowMs) + (MS_PER_S / limit).toLong()
+        }
+    }
+
+    /** Whether the row of shares is to be read now, for [claim]. */
+    public fun isClaimDue(nowMs: Long): Boolean =
+        perSecond != null && !isClaiming && nowMs >= nextClaimMs && demand.idleMs(nowMs) <= policy.idleMs
+
+    /** Records that the row is being read for [claim]. */
+    public fun claimStarted() {
+        isClaiming = true
+    }
+
+    /**
+     * What to write after [row] was read, at [storeMs] of the store's clock, or null if there is no share to have or to
+     * give up. The result of the write goes to [claimSucceeded] or [claimFailed].
+     */
+    public fun claim(
+        row: RateShares?,
+        nowMs: Long,
+        storeMs: Long,
+    ): ShareClaim? {
+        val limit = effectiveLimit() ?: return null.also { isClaiming = false }
+        val others = row?.othersAt(holder, limit, storeMs).orEmpty()
+        val most = maxHolders(limit)
+        if (others.size >= most) {
+            isClaiming = false
+            held = null
+            storeContactMs = nowMs
+            nextClaimMs = nowMs + retryDelayMs()
+            return null
+        }
+        val isRotationDue =
+            others.size + 1 >= most &&
+                entries() > most &&
+                held.let { it != null && nowMs - it.sinceMs >= policy.tenureMs }
+        if (isRotationDue) return ShareClaim(RateShares(limit, others), null)
+        val mean = demand.perSecondAt(nowMs) / maxOf(1, instances())
+        val wanted = maxOf(mean * DEMAND_MARGIN, policy.minPerSecond)
+        val next = withShare(holder, wanted, limit, others, storeMs + policy.leaseMs)
+        return ShareClaim(next, next.shares.last())
+    }
+
+    /** The row of [claim] was written by a call that was sent at [sentAtMs]. */
+    public fun claimSucceeded(
+        claim: ShareClaim,
+        sentAtMs: Long,
+        nowMs: Long,
+    ) {
+        isClaiming = false
+        conflicts = 0
+        storeContactMs = nowMs
+        val share = claim.share
+        refill(nowMs)
+        if (share == null) {
+            held = null
+            nextClaimMs = nowMs + retryDelayMs()
+            return
+        }
+        val untilMs = sentAtMs + policy.leaseMs - policy.safetyMs
+        val before = held?.takeIf { nowMs < it.untilMs }
+        if (before == null) tokens = 0.0
+        held = HeldShare(share.perSecond, claim.row.perSecond, before?.sinceMs ?: sentAtMs, untilMs)
+        nextClaimMs = sentAtMs + policy.renewMs
+    }
+
+    /** The claim failed; the row may still be written later if its condition then holds. */
+    public fun claimFailed(
+        failure: ClaimFailure,
+        nowMs: Long,
+    ) {
+        isClaiming = false
+        val isConflict = failure == ClaimFailure.CONFLICT
+        nextClaimMs = nowMs + if (isConflict) jitter(policy.conflictMs shl conflicts) else retryDelayMs()
+        if (!isConflict) return
+        conflicts = minOf(conflicts + 1, MAX_DOUBLINGS)
+        storeContactMs = nowMs
+    }
+
+    private fun retryDelayMs() = jitter(maxOf(policy.retryMs, policy.retryMsPerEntry * entries()))
+
+    private fun jitter(ms: Long) = ms + random.nextLong(ms)
+
+    private fun effectiveLimit() = perSecond?.let { maxOf(it, policy.minPerSecond) }
+
+    private fun isShareValid(nowMs: Long) = held.let { it != null && nowMs < it.untilMs }
+
+    /** The rate of the own share, reduced in proportion if the limit has fallen since the share was granted. */
+    private fun shareRate(): Double {
+        val share = held ?: return 0.0
+        val limit = effectiveLimit() ?: return 0.0
+        return if (limit < share.limitPerSecond) share.perSecond * limit / share.limitPerSecond else share.perSecond
+    }
+
+    private fun refill(nowMs: Long) {
+        val rate = shareRate()
+        val depth = maxOf(1.0, rate * BURST_S)
+        tokens = minOf(depth, tokens + rate * (nowMs - tokensAtMs) / MS_PER_S)
+        tokensAtMs = nowMs
+    }
+
+    /** Whether the store has not been reached for a lease's time, and a slot of this entry is open. */
+    private fun isInSlot(nowMs: Long): Boolean {
+        if (nowMs - storeContactMs < policy.leaseMs) return false
+        // A slot that has passed is lost: entries that were idle together must not send together.
+        val intervalMs = standaloneIntervalMs()
+        if (nowMs >= nextSlotMs + policy.slotMs) {
+            nextSlotMs += ((nowMs - nextSlotMs) / intervalMs).coerceAtLeast(1) * intervalMs
+        }
+        return nowMs in nextSlotMs until nextSlotMs + policy.slotMs
+    }
+
+    private fun standaloneIntervalMs(): Long {
+        val rate = (effectiveLimit() ?: 1.0) * policy.standaloneFraction / entries()
+        return (MS_PER_S / rate).toLong().coerceAtLeast(1)
+    }
+
+    private companion object {
+        const val MS_PER_S = 1_000.0
+
+        /** Requests come unevenly, and some instances are preferred; a share of the mean would make them wait. */
+        const val DEMAND_MARGIN = 2.0
+
+        /** Part of a second whose requests a large share may send together. */
+        const val BURST_S = 0.1
+        const val MAX_DOUBLINGS = 5
+        const val ANNOUNCEMENT_INTERVAL_MS = 500L
+    }
+}
--- a/core/src/main/kotlin/io/teaselspring/core/placement/InstancePartition.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/InstancePartition.kt
@@ -14,7 +14,8 @@
     private val hashes: RendezvousCache,
     private val nowMs: Long,
 ) {
-    private val healthy = instances.filter { !it.isEjected }.ifEmpty { instances }
+    private val permitted = instances.filter { it.hasPermit }
+    private val healthy = permitted.filter { !it.isEjected }.ifEmpty { permitted }
     private val groupByInstance = hashes.partition(instances.map { it.id }, groups)
     private val pools = HashMap<LatencyGroup, InstancePool>()
 
@@ -35,7 +36,7 @@
         if (request.group.isLast || groupByInstance.isEmpty()) return null
         return if (request.group.isInteractive) {
             healthy
-                .filter { groupByInstance.getValue(it.id) > request.group.index }
+                .filter { groupByInstance.getValue(it.id) > request.group.index && it.hasPermit }
                 .filter { it.load.requestsAt(nowMs) < policy.maxLoad }
                 .filter {
                     it.fitsShareOf(policy.windowTokensOf(request.group), entries, it.uncachedElsewhere(request))
--- a/core/src/main/kotlin/io/teaselspring/core/placement/InstancePool.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/InstancePool.kt
@@ -53,7 +53,8 @@
         memoryFraction: Double = policy.runningMemoryFraction,
         uncachedTokens: () -> Long,
     ): Boolean =
-        member.requests < policy.maxLoad &&
+        member.instance.hasPermit &&
+            member.requests < policy.maxLoad &&
             hasMemory(member, request.promptTokens, memoryFraction) &&
             hasPrefillRoom(member, uncachedTokens())
 
--- a/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
@@ -12,7 +12,7 @@
 /**
  * An instance that may be chosen. [load] is this entry's estimate of its running and waiting requests.
  * [pendingPrefillTokens] is the number of prompt tokens of the requests that this entry has sent there and that have
- * not produced a first token yet.
+ * not produced a first token yet. [hasPermit] is false while a limit that the instance states permits no request.
  */
 public data class PlacementCandidate(
     val id: InstanceId,
@@ -21,6 +21,7 @@
     val load: Double,
     val pendingPrefillTokens: Long,
     val isEjected: Boolean,
+    val hasPermit: Boolean = true,
 )
 
 /**
@@ -44,9 +45,9 @@
 )
 
 /**
- * Chooses one of [candidates], or returns null if all of them are in [tried]. A request without a shared part goes to
- * the least loaded instance, as does one for which every instance is over a threshold of [policy]. [random] returns a
- * uniformly distributed non-negative integer below its argument.
+ * Chooses one of [candidates], or returns null if all that have a permit are in [tried]. A request without a shared
+ * part goes to the least loaded instance, as does one for which every instance is over a threshold of [policy].
+ * [random] returns a uniformly distributed non-negative integer below its argument.
  */
 public fun chooseInstance(
     candidates: List<PlacementCandidate>,
@@ -55,7 +56,7 @@
     random: (Int) -> Int,
     policy: PlacementPolicy = PlacementPolicy(),
 ): PlacementCandidate? {
-    val untried = candidates.filter { it.id !in tried }
+    val untried = candidates.filter { it.id !in tried && it.hasPermit }
     val healthy = untried.filter { !it.isEjected }.ifEmpty { untried }
     val partition = partitionInstances(candidates.map { it.id }, request.group.count)
     val pool = instancesFor(request.group, healthy, partition) { it.id }
--- a/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
@@ -42,6 +42,9 @@
     public val id: InstanceId
     public val isEjected: Boolean
 
+    /** Whether the limit of requests a second that the instance states permits one more; true without a limit. */
+    public val hasPermit: Boolean get() = true
+
     /** What this entry knows of the requests on the instance. */
     public val load: KnownLoad
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CrashReports.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CrashReports.kt
@@ -6,21 +6,16 @@
 package io.teaselspring.daemon.gateway
 
 import io.teaselspring.core.InstanceId
-import io.teaselspring.core.lease.ClockReading
 import io.teaselspring.core.quarantine.CrashReport
 import io.teaselspring.core.quarantine.CrashedRequest
 import io.teaselspring.core.quarantine.PartQuarantine
 import io.teaselspring.ports.TableStore
 import io.teaselspring.ports.TableWrite
-import io.teaselspring.ports.WatchedTable
 import io.teaselspring.ports.describe
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.encodeToJsonElement
 import org.slf4j.LoggerFactory
@@ -30,9 +25,6 @@
 
 private val log = LoggerFactory.getLogger("io.teaselspring.daemon.gateway")
 
-/** Table of the crash reports; its keys are the names of the entries. */
-const val CRASH_REPORTS_TABLE: String = "teaselspring-crashes"
-
 private val reportJson = Json { ignoreUnknownKeys = true }
 
 @Serializable
@@ -64,13 +56,8 @@
         responses,
     )
 
-/** Decodes the row of an entry; null if it is unreadable. */
-fun decodeCrashReport(text: String): CrashReport? =
-    try {
-        reportJson.decodeFromString<CrashReportRow>(text).toReport()
-    } catch (_: SerializationException) {
-        null
-    }
+/** Decodes the row of an entry. Throws [kotlinx.serialization.SerializationException] if it is unreadable. */
+internal fun decodeCrashReport(text: String): CrashReport = reportJson.decodeFromString<CrashReportRow>(text).toReport()
 
 /** Stores the report of the entry [instance] in [table] and applies those of the others to [quarantine]. */
 internal class CrashReports(
@@ -78,7 +65,7 @@
     private val table: TableStore,
     private val quarantine: PartQuarantine,
     private val storeNowMs: () -> Long?,
-) : TableListener<CrashReport> {
+) {
     private val changed = Channel<Unit>(Channel.CONFLATED)
     private var stored = CrashReport()
 
@@ -86,19 +73,14 @@
     var isLoaded = false
         private set
 
-    override fun onSnapshot(
-        rows: Map<String, CrashReport?>,
-        askedAt: ClockReading,
-        afterOutage: Boolean,
-    ) {
+    /** Replaces the reports of all other entries by [rows]. */
+    fun replaceAll(rows: Map<String, CrashReport?>) {
         isLoaded = true
-        onChanges(quarantine.reporters.filter { it !in rows }.associateWith { null } + rows, askedAt)
+        apply(quarantine.reporters.filter { it !in rows }.associateWith { null } + rows)
     }
 
-    override fun onChanges(
-        changes: Map<String, CrashReport?>,
-        askedAt: ClockReading,
-    ) {
+    /** Applies the [changes] of some reports; null for one that was deleted or is unreadable. */
+    fun apply(changes: Map<String, CrashReport?>) {
         val now = storeNowMs() ?: return
         val before = quarantine.quarantined
         quarantine.replaceReports(changes, now)
@@ -113,24 +95,6 @@
         if (quarantine.ownReport != stored) changed.trySend(Unit)
     }
 
-    /**
-     * Follows [table] with long waits, because reports rarely change. The returned function starts the poll anew. It is
-     * called after an outage of a table with shorter waits, which notices a connection that went silent sooner.
-     */
-    fun follow(
-        table: WatchedTable<CrashReport>,
-        scope: CoroutineScope,
-        clock: () -> ClockReading,
-    ): () -> Unit {
-        val times = FollowTimes(wait = 10.seconds, interval = 100.milliseconds)
-        val follower = TableFollower("crashes", table, times, clock, this)
-        var job = scope.launch { follower.run() }
-        return {
-            job.cancel()
-            job = scope.launch { follower.run() }
-        }
-    }
-
     /** Stores the own report after each change, at most once in [interval]; retries after up to [maxRetryDelay]. */
     suspend fun run(
         interval: Duration = 150.milliseconds,
@@ -148,7 +112,7 @@
 
     private suspend fun store(report: CrashReport): Boolean {
         val row = reportJson.encodeToJsonElement(report.toRow())
-        return table.transaction(listOf(TableWrite(CRASH_REPORTS_TABLE, instance.value, ifVersion = null, row))).fold(
+        return table.transaction(listOf(TableWrite(SHARED_TABLE, instance.value, ifVersion = null, row))).fold(
             {
                 log.warn("event=crash_report_not_stored {}", it.describe())
                 false
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
@@ -46,6 +46,7 @@
     readMemory: (UpstreamInstance) -> Unit,
     val quarantine: RequestQuarantine,
 ) {
+    val limits: RequestLimits get() = instances.limits
     val queues = StreamQueues(loop, nowMs, instances, entryCount, readMemory)
     private val budgets = HashMap<UpstreamName, RetryBudget>()
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
@@ -11,7 +11,6 @@
 import io.teaselspring.core.freshness.StoreClock
 import io.teaselspring.core.lease.ClockReading
 import io.teaselspring.core.lease.LeaseTimes
-import io.teaselspring.core.quarantine.CrashReport
 import io.teaselspring.core.registry.RegisteredInstance
 import io.teaselspring.core.routing.RoutingConfig
 import io.teaselspring.daemon.Running
@@ -43,7 +42,8 @@
 
 /**
  * Interfaces to the platform. [storeClock] estimates the store's clock from its responses. Without [readMemory] the
- * queue does not bound the memory of running requests; without [crashReports] entries don't share their crash reports.
+ * queue does not bound the memory of running requests; without [sharedRows] entries don't share what they learn of
+ * instances.
  */
 class GatewayPlatform(
     val table: TableStore,
@@ -52,7 +52,7 @@
     val usage: UsageIntake?,
     val storeClock: StoreClock,
     val readMemory: ReadMemory? = null,
-    val crashReports: WatchedTable<CrashReport>? = null,
+    val sharedRows: WatchedTable<SharedRow>? = null,
 )
 
 /**
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -58,13 +58,24 @@
             times.leaseTimes,
             storeNowMs = { platform.storeClock.certainNowMs(runtime.clock()) },
         )
+    private val limits =
+        RequestLimits(
+            settings.instance,
+            platform.table,
+            entryCount::value,
+            runtime.nowMs,
+            StoreTimes(
+                estimatedMs = { platform.storeClock.nowMs(runtime.clock()) },
+                certainMs = { platform.storeClock.certainNowMs(runtime.clock()) },
+            ),
+        )
     private val gateway =
         Gateway(
             settings,
             runtime.loop,
             runtime.nowMs,
             ConfigState(runtime.loop, runtime.clock),
-            UpstreamInstances(runtime.connections, runtime.nowMs),
+            UpstreamInstances(runtime.connections, runtime.nowMs, limits),
             runtime.metrics,
             usage::recordRequest,
             entryCount::value,
@@ -73,7 +84,7 @@
             RequestQuarantine(
                 settings.instance,
                 platform.table,
-                isShared = platform.crashReports != null,
+                isShared = platform.sharedRows != null,
                 runtime.metrics,
                 storeNowMs = { platform.storeClock.nowMs(runtime.clock()) },
                 CrashDetector(runtime.nowMs, runtime.connections::probe),
@@ -111,10 +122,11 @@
         gateway.config.onStale = { config.readNow(scope) }
         scope.launch { config.run() }
         scope.launch { registryFollower().run() }
-        platform.crashReports?.let {
-            onConfigOutageEnded = gateway.quarantine.reports.follow(it, scope, runtime.clock)
+        platform.sharedRows?.let {
+            onConfigOutageEnded = SharedRows(gateway.quarantine.reports, limits).follow(it, scope, runtime.clock)
             scope.launch { gateway.quarantine.reports.run() }
         }
+        scope.launch { limits.run() }
         scope.launch { housekeeping() }
         if (platform.usage != null) scope.launch { reportUsage(platform.usage) }
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -140,7 +140,8 @@
         parseLoad(response.headers()[names.load])?.let { instance.load.record(it, now) }
         // Another process that answers at the address of the instance says nothing about the instance.
         if (response.status() != HttpResponseStatus.MISDIRECTED_REQUEST) {
-            instance.recordLimit(response.headers().getAll(names.requestLimit), startedMs, now)
+            val isChanged = instance.recordLimit(response.headers().getAll(names.requestLimit), startedMs, now)
+            if (isChanged) gateway.limits.changed()
         }
         framing = response.bodyFraming(method)
         val headers = uncheckedHeaders.newHeaders()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/LocalResponse.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/LocalResponse.kt
@@ -27,10 +27,11 @@
 }
 
 /** A `Retry-After` in seconds, with jitter so that refused callers do not retry together. */
-internal fun retryAfterSeconds(random: (Int) -> Int): String {
-    val ms = RETRY_AFTER_MS + random(RETRY_AFTER_MS)
-    return "%d.%03d".format(ms / MILLIS_PER_S, ms % MILLIS_PER_S)
-}
+internal fun retryAfterSeconds(random: (Int) -> Int): String =
+    secondsText((RETRY_AFTER_MS + random(RETRY_AFTER_MS)).toLong())
+
+/** [ms] in seconds, with three decimals. */
+internal fun secondsText(ms: Long): String = "%d.%03d".format(ms / MILLIS_PER_S, ms % MILLIS_PER_S)
 
 private const val RETRY_AFTER_MS = 300
 private const val MILLIS_PER_S = 1000
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -86,6 +86,7 @@
             return
         }
         if (refuseQuarantined()) return
+        gateway.limits.recordDemand(upstream)
         timeout = gateway.loop.schedule({ onTimeout() }, timeoutMs, TimeUnit.MILLISECONDS)
         if (prompt.isEmpty()) tryNextInstance() else enqueue()
     }
@@ -106,14 +107,14 @@
 
     override fun onQueueTimeout() {
         queueId = null
-        refuse("waited too long")
+        refuseForNow("waited too long")
     }
 
     /** Starts an attempt on an instance that has not been tried yet, or refuses the request if there is none. */
     private fun tryNextInstance() {
         val instance = gateway.chooseInstanceFor(authorised, prompt, attempts.tried)
         if (instance == null) {
-            refuse(if (attempts.tried.isEmpty()) "no instance" else "no further instance")
+            refuseForNow(if (attempts.tried.isEmpty()) "no instance" else "no further instance")
             return
         }
         startAttempt(instance, instance.prefixCache.uncachedTokens(prompt, isPreferred = false))
@@ -256,6 +257,12 @@
         attempt?.setReading(isWritable)
     }
 
+    /** Refuses the request for [reason], until an instance whose limit holds it back may take it. */
+    private fun refuseForNow(reason: String) {
+        val delayMs = gateway.permitDelayMs(authorised.upstream)
+        if (delayMs == null) refuse(reason) else refuse("$reason within its limit", secondsText(delayMs))
+    }
+
     /**
      * Responds that the request is not executed now; `Retry-After` says when to retry. The status is 503, which states
      * that the request has not run, unless an earlier attempt may have run.
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
@@ -117,10 +117,11 @@
 
 private class UpstreamInstanceView(
     val instance: UpstreamInstance,
-    nowMs: Long,
+    private val nowMs: Long,
 ) : InstanceView {
     override val id: InstanceId get() = instance.registered.id
     override val isEjected: Boolean = instance.isEjected(nowMs, STREAM_STALL_MS)
+    override val hasPermit: Boolean get() = instance.limit.hasPermit(nowMs)
     override val load: KnownLoad get() = instance.load
     override val memoryTokens: Long? get() = instance.memoryTokens
     override val pendingPrefillTokens: Long get() = instance.pendingPrefillTokens
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -6,7 +6,7 @@
 
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.UpstreamName
-import io.teaselspring.core.limit.StatedLimit
+import io.teaselspring.core.limit.InstanceLimit
 import io.teaselspring.core.placement.KnownLoad
 import io.teaselspring.core.placement.PlacementCandidate
 import io.teaselspring.core.placement.PrefixCacheEstimate
@@ -23,6 +23,7 @@
 internal class UpstreamInstance(
     registered: RegisteredInstance,
     val server: ServerConnections,
+    val limit: InstanceLimit,
 ) {
     var registered = registered
         private set
@@ -35,7 +36,6 @@
     private var failures = 0
     private var ejectedUntilMs = 0L
     val prefixCache = PrefixCacheEstimate()
-    val limit = StatedLimit()
 
     /** Applies a changed registry row of the same process. */
     fun update(row: RegisteredInstance) {
@@ -48,6 +48,7 @@
     ) {
         if (load.ownRequests == 0) lastActivityMs = nowMs
         load.requestStarted(promptTokens)
+        limit.requestStarted(nowMs)
     }
 
     fun requestEnded(promptTokens: Long) = load.requestEnded(promptTokens)
@@ -56,15 +57,15 @@
         lastActivityMs = nowMs
     }
 
-    /** Records the limit that the [headers] of a response state; its request was sent at [sentAtMs]. */
+    /** Records the limit's [headers] of a response to a request sent at [sentAtMs]; returns whether it changed. */
     fun recordLimit(
         headers: List<String>,
         sentAtMs: Long,
         nowMs: Long,
-    ) {
+    ): Boolean {
         val before = limit.perSecond
-        limit.record(headers, sentAtMs, nowMs)
-        if (limit.perSecond == before) return
+        limit.recordResponse(headers, sentAtMs, nowMs)
+        if (limit.perSecond == before) return false
         log.info(
             "event=instance_limit_changed instance={} upstream={} requests_per_second={} before={} header=\"{}\"",
             registered.id,
@@ -73,6 +74,7 @@
             before,
             headers.joinToString(),
         )
+        return true
     }
 
     fun recordSuccess() {
@@ -125,6 +127,7 @@
             load.requestsAt(nowMs),
             pendingPrefillTokens,
             isEjected(nowMs, stallMs),
+            limit.hasPermit(nowMs),
         )
 
     /** Whether the instance is ejected, or has requests of this entry and has sent nothing for [stallMs]. */
@@ -144,6 +147,7 @@
 internal class UpstreamInstances(
     private val connections: HttpConnections,
     private val nowMs: () -> Long,
+    val limits: RequestLimits,
 ) {
     val registry = InstanceRegistry()
     private val byId = LinkedHashMap<InstanceId, UpstreamInstance>()
@@ -169,12 +173,13 @@
                 stateOf(now),
             )
             val old = byId[change.id]
-            if (now == null) {
-                byId.remove(change.id)
-            } else if (old == null || !old.isSameProcess(now)) {
-                byId[change.id] = UpstreamInstance(now, connections.server(now.address))
-            } else {
+            if (now != null && old?.isSameProcess(now) == true) {
                 old.update(now)
+            } else {
+                byId.remove(change.id)?.let { limits.remove(it.registered) }
+                if (now != null) {
+                    byId[change.id] = UpstreamInstance(now, connections.server(now.address), limits.add(now))
+                }
             }
             if (old != null && byId.values.none { it.registered.address == old.registered.address }) {
                 connections.forget(old.registered.address)
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/control/FakePlatform.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/control/FakePlatform.kt
@@ -37,6 +37,9 @@
     /** Runs before each write is looked at; tests use it to let another process act first. */
     var beforeWrite: suspend () -> Unit = {}
 
+    /** Called with each write that is applied. */
+    var onApplied: (TableWrite) -> Unit = {}
+
     private val table =
         object : TableStore {
             override suspend fun get(
@@ -104,6 +107,7 @@
                 val path = "${write.table}/${write.key}"
                 val version = (rows[path]?.version ?: ABSENT) + 1
                 write.value?.let { rows[path] = Row(path, version, it) } ?: rows.remove(path)
+                onApplied(write)
                 version
             }.right()
     }
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/CrashQuarantineTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/CrashQuarantineTest.kt
@@ -42,11 +42,7 @@
 ) = call(prefix, headers = "$PARTS: $parts\r\n")
 
 private fun reportOf(vararg atMs: Long) =
-    CrashReport(
-        atMs.map {
-            CrashedRequest(it, InstanceId("i-$it"), setOf("bad"))
-        },
-    )
+    SharedRow.Crashes(CrashReport(atMs.map { CrashedRequest(it, InstanceId("i-$it"), setOf("bad")) }))
 
 class CrashQuarantineTest :
     FunSpec({
@@ -54,7 +50,7 @@
             "after three crashes requests with the part they have in common are refused as not run, others are served",
         ) {
             val instances = Array(6) { crashing() }
-            withGateway(*instances, crashReports = FakeWatchedTable()) {
+            withGateway(*instances, sharedRows = FakeWatchedTable()) {
                 ask("instructions:10,own:5") shouldContain "data: a"
                 repeat(8) {
                     ask("instructions:10,bad:10,own$it:5")
@@ -70,7 +66,7 @@
 
         test("a request whose attempt crashed an instance is not repeated while its part is suspected") {
             val instances = Array(6) { crashing() }
-            withGateway(*instances, crashReports = FakeWatchedTable()) {
+            withGateway(*instances, sharedRows = FakeWatchedTable()) {
                 ask("bad:10,own:5")
                 ask("bad:10,own:6", RESUMED)
                 instances.sumOf { it.requests.value.size } shouldBe 2
@@ -89,8 +85,8 @@
                     isReported.await()
                     ConnectionAction.CLOSE
                 }
-            val reports = FakeWatchedTable<CrashReport>()
-            withGateway(breaking, crashReports = reports) {
+            val reports = FakeWatchedTable<SharedRow>()
+            withGateway(breaking, sharedRows = reports) {
                 coroutineScope {
                     val response = async { ask("bad:10,own:5", RESUMED) }
                     hasBegun.await()
@@ -107,8 +103,8 @@
         test(
             "an entry refuses a part that only others have seen crash instances, until it is cleared",
         ) {
-            val reports = FakeWatchedTable<CrashReport>()
-            withGateway(ScriptedUpstream(::answer), crashReports = reports) {
+            val reports = FakeWatchedTable<SharedRow>()
+            withGateway(ScriptedUpstream(::answer), sharedRows = reports) {
                 ask("bad:10,own:5") shouldContain "data: a"
                 delay(RESPONSE_MS)
                 val now = STORE_START_MS + millisSinceStart()
@@ -116,14 +112,14 @@
                 reports.set("entry-3", reportOf(now + 600))
                 eventually { ask("bad:10,own:6") shouldStartWith "HTTP/1.1 503" }
                 ask("good:10,own:5") shouldContain "data: a"
-                reports.set("entry-4", CrashReport(responses = mapOf("bad" to now + 700)))
+                reports.set("entry-4", SharedRow.Crashes(CrashReport(responses = mapOf("bad" to now + 700))))
                 eventually { ask("bad:10,own:7") shouldContain "data: a" }
             }
         }
 
         test("an entry that has not read the reports of the others refuses prompts, and serves requests without one") {
-            val reports = FakeWatchedTable<CrashReport>().also { it.isHanging = true }
-            withGateway(ScriptedUpstream(::answer), crashReports = reports) {
+            val reports = FakeWatchedTable<SharedRow>().also { it.isHanging = true }
+            withGateway(ScriptedUpstream(::answer), sharedRows = reports) {
                 ask("good:10,own:5") shouldStartWith "HTTP/1.1 503"
                 call(PLAIN) shouldStartWith "HTTP/1.1 200"
             }
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
@@ -13,7 +13,6 @@
 import io.teaselspring.core.UpstreamName
 import io.teaselspring.core.freshness.StoreClock
 import io.teaselspring.core.lease.ClockReading
-import io.teaselspring.core.quarantine.CrashReport
 import io.teaselspring.core.registry.RegisteredInstance
 import io.teaselspring.core.routing.CallerOrganisation
 import io.teaselspring.core.routing.RequestRoute
@@ -93,10 +92,10 @@
     settings: GatewaySettings = testSettings(),
     stopLimit: Duration = 5.hours,
     reportsUsage: Boolean = false,
-    crashReports: FakeWatchedTable<CrashReport>? = null,
+    sharedRows: FakeWatchedTable<SharedRow>? = null,
     val platform: FakePlatform = FakePlatform(),
+    private val startedMs: Long = System.nanoTime() / NANOS_PER_MS,
 ) : AutoCloseable {
-    private val startedMs = System.nanoTime() / NANOS_PER_MS
     private val storeClock = StoreClock().also { it.observe(STORE_START_MS, startClock(), startClock()) }
     val config = FakeWatchedTable<RoutingConfig>()
     val instances = FakeWatchedTable<RegisteredInstance>()
@@ -120,7 +119,7 @@
                         instances,
                         platform.platform.usage.takeIf { reportsUsage },
                         storeClock,
-                        crashReports = crashReports,
+                        sharedRows = sharedRows,
                     ),
                     GatewayTimes(usageWindow = 1.hours, stopLimit),
                     scope,
@@ -172,7 +171,8 @@
         isResumable,
     )
 
-    private fun startClock() = ClockReading(startedMs, System.currentTimeMillis())
+    private fun startClock() =
+        ClockReading(startedMs, System.currentTimeMillis() - (System.nanoTime() / NANOS_PER_MS - startedMs))
 
     /** Time since the start of the site, when the store's clock was [STORE_START_MS]. */
     fun millisSinceStart(): Long = System.nanoTime() / NANOS_PER_MS - startedMs
@@ -247,10 +247,10 @@
     settings: GatewaySettings = GatewaySite.testSettings(),
     stopLimit: Duration = 5.hours,
     reportsUsage: Boolean = false,
-    crashReports: FakeWatchedTable<CrashReport>? = null,
+    sharedRows: FakeWatchedTable<SharedRow>? = null,
     block: suspend GatewaySite.() -> Unit,
 ) {
-    val site = GatewaySite(upstreams.toList(), timeoutMs, settings, stopLimit, reportsUsage, crashReports)
+    val site = GatewaySite(upstreams.toList(), timeoutMs, settings, stopLimit, reportsUsage, sharedRows)
     try {
         withContext(Dispatchers.IO) {
             eventually { site.isReady() shouldBe true }
@@ -269,10 +269,21 @@
     block: suspend (List<GatewaySite>) -> Unit,
 ) {
     val platform = FakePlatform()
+    val sharedRows = FakeWatchedTable<SharedRow>()
+    platform.onApplied = { write ->
+        if (write.table == SHARED_TABLE) sharedRows.set(write.key, decodeSharedRow(write.key, write.value.toString()))
+    }
+    val startedMs = System.nanoTime() / NANOS_PER_MS
     val sites =
         List(entries) {
             val settings = GatewaySite.testSettings().copy(instance = InstanceId("entry-$it"), assumedEntries = entries)
-            GatewaySite(upstreams.toList(), settings = settings, platform = platform)
+            GatewaySite(
+                upstreams.toList(),
+                settings = settings,
+                sharedRows = sharedRows,
+                platform = platform,
+                startedMs = startedMs,
+            )
         }
     try {
         withContext(Dispatchers.IO) {
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/InstanceMemoryTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/InstanceMemoryTest.kt
@@ -13,6 +13,8 @@
 import io.teaselspring.core.DataCentre
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.UpstreamName
+import io.teaselspring.core.limit.ArrivalRate
+import io.teaselspring.core.limit.InstanceLimit
 import io.teaselspring.core.registry.RegisteredInstance
 import io.teaselspring.daemon.http.HttpConnections
 import io.teaselspring.ports.PlatformError
@@ -35,7 +37,8 @@
                     startedAtMs = 1,
                 )
             val connections = HttpConnections(group.next() as EventLoop, nowMs = { nowMs })
-            val instance = UpstreamInstance(registered, connections.server(registered.address))
+            val limit = InstanceLimit("entry-1", ArrivalRate(), instances = { 1 }, entries = { 1 })
+            val instance = UpstreamInstance(registered, connections.server(registered.address), limit)
             val answers =
                 ArrayDeque(
                     listOf(PlatformError.Unavailable("engine-report", "engine-1", "silent").left(), 90_000L.right()),
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/LimitedArrivals.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/LimitedArrivals.kt
@@ -91,11 +91,11 @@
 internal fun Callers.schedule(
     loop: EventLoop,
     stopped: MutableSet<Int>,
-    arrivals: LimitedArrivals,
+    onRestart: (entry: Int) -> Unit,
 ) = stops.forEach { stop ->
     loop.at(stop.fromMs) { stopped += stop.entry }
     loop.at(stop.toMs) {
-        arrivals.forget(stop.entry)
+        onRestart(stop.entry)
         stopped -= stop.entry
     }
 }
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptPolicy.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptPolicy.kt
@@ -5,6 +5,7 @@
 
 import io.teaselspring.core.DataCentre
 import io.teaselspring.core.InstanceId
+import io.teaselspring.core.limit.InstanceLimit
 import io.teaselspring.core.placement.InstanceView
 import io.teaselspring.core.placement.KnownLoad
 import io.teaselspring.core.placement.LatencyGroup
@@ -27,6 +28,10 @@
 ) : InstanceView {
     private val prefixCache = PrefixCacheEstimate()
     override val load = KnownLoad()
+
+    /** What the entry knows of the limit that the engine states; null if entries ignore limits. */
+    var limit: () -> InstanceLimit? = { null }
+    override val hasPermit get() = limit()?.hasPermit(loop.nowMs) ?: true
     override val id: InstanceId get() = engine.id
     override val isEjected get() = !engine.isUp
     override var pendingPrefillTokens = 0L
@@ -71,10 +76,13 @@
     fun changed()
 }
 
-/** A policy by its name. If it [quarantines], entries refuse requests with parts that crash engines. */
+/**
+ * A policy by its name. If entries [cooperate], they refuse requests with parts that crash engines, and keep the limits
+ * that engines state.
+ */
 class PromptPolicy(
     val name: String,
-    val quarantines: Boolean = false,
+    val cooperate: Boolean = false,
     val router: (
         loop: EventLoop,
         engines: List<EntryInstanceView>,
@@ -177,7 +185,7 @@
     policy: QueuePolicy = QueuePolicy(),
 ) = PromptPolicy(
     name,
-    quarantines = true,
+    cooperate = true,
 ) { loop, engines, entries, actions -> QueueRouter(loop, engines, policy, entries, actions) }
 
 /** The engine by the hash of the longest shared part, whatever its load. */
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenario.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenario.kt
@@ -123,6 +123,7 @@
     val crashing: CrashingRequests,
     val quarantinedRequests: Int,
     val limited: LimitedArrivals,
+    val storeCalls: Int,
 ) {
     val totalWorth: Double get() = worth.getValue(TOTAL)
 
@@ -163,7 +164,8 @@
         val first = entryFor(request.entry, entries, callers.skew) + offset
         return (first until first + entries).map { it % entries }.first { it !in stopped }
     }
-    val quarantines = EntryQuarantines(if (policy.quarantines) entries else 0, loop)
+    val entryLimits = EntryLimits(entries, fleet.map { it.id }, loop, seed)
+    val quarantines = EntryQuarantines(if (policy.cooperate) entries else 0, loop)
 
     fun refuse(outcome: PromptOutcome) {
         outcome.isRefused = true
@@ -171,7 +173,9 @@
         if (!callers.returnWhenRefused || outcome.refusals > 1) return
         loop.after(RETURN_AFTER_MS * US_PER_MS) {
             outcome.isRefused = false
-            routers[entryOf(outcome.request, offset = 1)].submit(outcome.request)
+            val entry = entryOf(outcome.request, offset = 1)
+            entryLimits.recordDemand(entry)
+            routers[entry].submit(outcome.request)
         }
     }
 
@@ -183,25 +187,42 @@
         val send = { request: PromptRequest, engine: EntryInstanceView, uncached: Long ->
             val outcome = byRequest.getValue(request.id)
             if (!refuseQuarantined(number, outcome)) {
-                val observer = quarantines.observer(number, request, engine.id) + limited.observer(number, engine)
+                val observer =
+                    quarantines.observer(number, request, engine.id) +
+                        limited.observer(number, engine) +
+                        entryLimits.observer(number, engine)
                 val isAccepted = offer(loop, outcome, engine, uncached, observer) { routers[number].changed() }
                 if (!isAccepted) refuse(outcome)
             }
         }
         val actions = EntryActions(send) { refuse(byRequest.getValue(it.id)) }
-        routers += policy.router(loop, fleet.map { EntryInstanceView(it, loop) }, entries, actions)
+        val views = fleet.map { EntryInstanceView(it, loop) }
+        if (policy.cooperate) views.forEach { it.limit = { entryLimits.limit(number, it.id) } }
+        routers += policy.router(loop, views, entries, actions)
     }
     (outcomes + crashing).map { it.request }.forEach { request ->
         loop.at(request.arrivedMs) {
             val entry = entryOf(request)
+            entryLimits.recordDemand(entry)
             if (!refuseQuarantined(entry, byRequest.getValue(request.id))) routers[entry].submit(request)
         }
     }
     faults.schedule(loop, fleet) { crashedAtMs += loop.nowMs }
     faults.limit?.schedule(loop, fleet)
-    callers.schedule(loop, stopped, limited)
+    callers.schedule(loop, stopped) {
+        limited.forget(it)
+        entryLimits.restart(it)
+    }
     loop.runUntil(durationMs + classes.maxOf { it.deadlineMs })
-    return figuresOf(policy, outcomes, fleet, CrashingRequests(crashing, crashedAtMs), quarantines.refused, limited)
+    return figuresOf(
+        policy,
+        outcomes,
+        fleet,
+        CrashingRequests(crashing, crashedAtMs),
+        quarantines.refused,
+        limited,
+        entryLimits.storeCalls,
+    )
 }
 
 private fun EngineFaults.schedule(
@@ -280,6 +301,7 @@
     crashing: CrashingRequests,
     quarantinedRequests: Int,
     limited: LimitedArrivals,
+    storeCalls: Int,
 ): PromptFigures {
     val byClass = outcomes.groupBy { it.request.profile.name }.mapValues { worthOf(it.value) }
     val windows = outcomes.groupBy { it.request.arrivedMs / WINDOW_MS }.values.map(::worthOf)
@@ -294,6 +316,7 @@
         crashing,
         quarantinedRequests,
         limited,
+        storeCalls,
     )
 }
 
