Let the first holders keep their shares when a limit falls

A lower limit allows fewer holders. Each holder of too many found the row full and gave its share up, also those that the lower limit has room for, so the instance was used by nobody until all leases had ended. Now the first holders in the row keep their shares, and a renewed share keeps its place.

--- a/core/src/main/kotlin/io/teaselspring/core/limit/InstanceLimit.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/limit/InstanceLimit.kt
@@ -118,6 +118,9 @@
         }
     }
 
+    /** The rate at which this entry may send under its share, or null without a valid one. */
+    public fun sharePerSecond(nowMs: Long): Double? = if (isShareValid(nowMs)) shareRate() else null
+
     /** Whether the limit permits this entry to send a request now. */
     public fun hasPermit(nowMs: Long): Boolean {
         if (perSecond == null) return true
@@ -163,9 +166,11 @@
         storeMs: Long,
     ): ShareClaim? {
         val limit = effectiveLimit() ?: return null.also { isClaiming = false }
-        val others = row?.othersAt(holder, limit, storeMs).orEmpty()
+        val shares = row?.validAt(limit, storeMs).orEmpty()
         val most = maxHolders(limit)
-        if (others.size >= most) {
+        // After a fall of the limit there may be more holders than it allows; the first ones keep their shares.
+        val position = shares.indexOfFirst { it.holder == holder }.takeIf { it >= 0 } ?: shares.size
+        if (position >= most) {
             isClaiming = false
             held = null
             storeContactMs = nowMs
@@ -173,14 +178,19 @@
             return null
         }
         val isRotationDue =
-            others.size + 1 >= most &&
+            shares.size >= most &&
                 entries() > most &&
                 held.let { it != null && nowMs - it.sinceMs >= policy.tenureMs }
-        if (isRotationDue) return ShareClaim(RateShares(limit, others), null)
-        val mean = demand.perSecondAt(nowMs) / maxOf(1, instances())
-        val wanted = maxOf(mean * DEMAND_MARGIN, policy.minPerSecond)
-        val next = withShare(holder, wanted, limit, others, storeMs + policy.leaseMs)
-        return ShareClaim(next, next.shares.last())
+        val claim =
+            if (isRotationDue) {
+                ShareClaim(RateShares(limit, shares.filter { it.holder != holder }), null)
+            } else {
+                val mean = demand.perSecondAt(nowMs) / maxOf(1, instances())
+                val wanted = maxOf(mean * DEMAND_MARGIN, policy.minPerSecond)
+                val share = fairShare(holder, wanted, limit, shares, storeMs + policy.leaseMs)
+                ShareClaim(RateShares(limit, shares.with(share)), share)
+            }
+        return claim
     }
 
     /** The row of [claim] was written by a call that was sent at [sentAtMs]. */
--- a/core/src/main/kotlin/io/teaselspring/core/limit/RateShares.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/limit/RateShares.kt
@@ -26,38 +26,40 @@
     @SerialName("requests_per_second") val perSecond: Double,
     val shares: List<RateShare> = emptyList(),
 ) {
-    /** The shares of entries other than [holder] that are valid at [nowMs], within a limit of [limitPerSecond]. */
-    internal fun othersAt(
-        holder: String,
+    /** The shares that are valid at [nowMs], within a limit of [limitPerSecond]. */
+    internal fun validAt(
         limitPerSecond: Double,
         nowMs: Long,
     ): List<RateShare> {
         // A holder that learns of a lower limit reduces its share in proportion, before it renews it.
         val scale = if (limitPerSecond < perSecond) limitPerSecond / perSecond else 1.0
-        return shares
-            .filter { it.holder != holder && it.untilMs > nowMs }
-            .map { it.copy(perSecond = it.perSecond * scale) }
+        return shares.filter { it.untilMs > nowMs }.map { it.copy(perSecond = it.perSecond * scale) }
     }
 }
 
 /**
- * The row in which [holder] has a share of [limitPerSecond] beside [others] until [untilMs]: as much of
- * [wantedPerSecond] as is fair and as the others have left. The share may be 0 until the others have reduced theirs.
+ * The share of [limitPerSecond] that [holder] may have beside the other [shares] until [untilMs]: as much of
+ * [wantedPerSecond] as is fair and as the others have left. It may be 0 until the others have reduced theirs.
  */
-internal fun withShare(
+internal fun fairShare(
     holder: String,
     wantedPerSecond: Double,
     limitPerSecond: Double,
-    others: List<RateShare>,
+    shares: List<RateShare>,
     untilMs: Long,
-): RateShares {
+): RateShare {
+    val others = shares.filter { it.holder != holder }
     val equalPart = limitPerSecond / (others.size + 1)
     val unwanted = limitPerSecond - others.sumOf { minOf(it.wantedPerSecond, equalPart) }
     val free = limitPerSecond - others.sumOf { it.perSecond }
     val perSecond = minOf(wantedPerSecond, free, maxOf(equalPart, unwanted)).coerceAtLeast(0.0)
-    return RateShares(limitPerSecond, others + RateShare(holder, perSecond, wantedPerSecond, untilMs))
+    return RateShare(holder, perSecond, wantedPerSecond, untilMs)
 }
 
+/** These shares with [share] in place of that of its holder, or at the end. */
+internal fun List<RateShare>.with(share: RateShare): List<RateShare> =
+    if (any { it.holder == share.holder }) map { if (it.holder == share.holder) share else it } else this + share
+
 /**
  * The most entries that may share a limit of [perSecond]. Each may send one saved request at any time, so in four
  * seconds the instance gets at most four times its limit and one request for each holder. With few holders a holder
