Send without a share only while the store does not answer

An entry that had been idle for a lease's time took that for an outage of the store and sent in the slots that are meant for one, beside the holders of shares. The slots now open only when claims have failed for that long because the store did not answer. InstanceLimitTest: an idle entry that reaches the store had a permit without a share.

--- a/core/src/main/kotlin/io/teaselspring/core/limit/InstanceLimit.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/limit/InstanceLimit.kt
@@ -67,7 +67,9 @@
     private var tokensAtMs = 0L
     private var nextClaimMs = 0L
     private var isClaiming = false
-    private var storeContactMs = 0L
+
+    /** When claims began to fail because the store did not answer; null while it does. */
+    private var storeLostAtMs: Long? = null
     private var nextSlotMs = 0L
     private var conflicts = 0
     private var nextAnnouncementMs = 0L
@@ -110,7 +112,7 @@
         action()
         if (before == null && perSecond != null) {
             held = null
-            storeContactMs = nowMs
+            storeLostAtMs = null
             conflicts = 0
             // Entries learn of a limit at about the same time; their claims would conflict with each other.
             nextClaimMs = nowMs + random.nextLong(policy.firstClaimMsPerEntry * entries() + 1)
@@ -173,7 +175,7 @@
         if (position >= most) {
             isClaiming = false
             held = null
-            storeContactMs = nowMs
+            storeLostAtMs = null
             nextClaimMs = nowMs + retryDelayMs()
             return null
         }
@@ -212,7 +214,7 @@
     ) {
         isClaiming = false
         conflicts = 0
-        storeContactMs = nowMs
+        storeLostAtMs = null
         val share = claim.share
         refill(nowMs)
         if (share == null) {
@@ -235,9 +237,12 @@
         isClaiming = false
         val isConflict = failure == ClaimFailure.CONFLICT
         nextClaimMs = nowMs + if (isConflict) jitter(policy.conflictMs shl conflicts) else retryDelayMs()
-        if (!isConflict) return
-        conflicts = minOf(conflicts + 1, MAX_DOUBLINGS)
-        storeContactMs = nowMs
+        if (isConflict) {
+            conflicts = minOf(conflicts + 1, MAX_DOUBLINGS)
+            storeLostAtMs = null
+        } else if (storeLostAtMs == null) {
+            storeLostAtMs = nowMs
+        }
     }
 
     private fun retryDelayMs() = jitter(maxOf(policy.retryMs, policy.retryMsPerEntry * entries()))
@@ -264,7 +269,8 @@
 
     /** Whether the store has not been reached for a lease's time, and a slot of this entry is open. */
     private fun isInSlot(nowMs: Long): Boolean {
-        if (nowMs - storeContactMs < policy.leaseMs) return false
+        val lostAtMs = storeLostAtMs
+        if (lostAtMs == null || nowMs - lostAtMs < policy.leaseMs) return false
         // A slot that has passed is lost: entries that were idle together must not send together.
         val intervalMs = standaloneIntervalMs()
         if (nowMs >= nextSlotMs + policy.slotMs) {
--- a/core/src/test/kotlin/io/teaselspring/core/limit/InstanceLimitTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/limit/InstanceLimitTest.kt
@@ -194,6 +194,12 @@
             }
         }
 
+        test("an idle entry that reaches the store sends nothing without a share") {
+            val fleet = Fleet(entries = 2, Random(1), perSecond = 20.0)
+            fleet.run(60_000, hasDemand = { _, nowMs -> nowMs < 10_000 })
+            fleet.limits.forEach { it.hasPermit(fleet.nowMs) shouldBe false }
+        }
+
         test("a limit of 0 leaves one request in four seconds") {
             val fleet = Fleet(entries = 5, Random(1), perSecond = 0.0)
             fleet.run(60_000)
