Let requests without a prompt wait for a permit by priority

When the limits of all instances of an upstream permitted no request at the moment, requests without a prompt were refused at once, whatever their priority, though a permit was due within their target; so were retries and resumed streams. Now they wait in order of priority and arrival, as those with prompts do in their queue, until 1.2 times their target, and a fresh request does not overtake a more urgent one that waits.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/AuthorisedRequest.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/AuthorisedRequest.kt
@@ -36,9 +36,23 @@
         priority,
         arrivedMs,
         lateAfterMs = arrivedMs + route.targetLatencyMs * LATE_AFTER_PCT / PERCENT,
-        refuseAfterMs = minOf(arrivedMs + route.targetLatencyMs * REFUSE_AFTER_PCT / PERCENT, deadlineMs),
+        refuseAfterMs = refuseAfterMs(arrivedMs, deadlineMs),
     )
 
+    /** The request as it waits since [sinceMs] for a permit at an instance that [choose] returns. */
+    fun toPermitRequest(
+        prompt: List<PromptPart>,
+        sinceMs: Long,
+        deadlineMs: Long,
+        choose: () -> UpstreamInstance?,
+        waiting: WaitingRequest,
+    ) = PermitRequest(upstream, priority, sinceMs, refuseAfterMs(sinceMs, deadlineMs), prompt, choose, waiting)
+
+    private fun refuseAfterMs(
+        sinceMs: Long,
+        deadlineMs: Long,
+    ) = minOf(sinceMs + route.targetLatencyMs * REFUSE_AFTER_PCT / PERCENT, deadlineMs)
+
     private companion object {
         /** After this share of its latency target a waiting request yields to requests that can still meet theirs. */
         const val LATE_AFTER_PCT = 80
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
@@ -48,6 +48,7 @@
 ) {
     val limits: RequestLimits get() = instances.limits
     val queues = StreamQueues(loop, nowMs, instances, entryCount, readMemory)
+    val permits = PermitQueue(loop, nowMs)
     private val budgets = HashMap<UpstreamName, RetryBudget>()
 
     /** The graceful drain, once it has begun; responses then carry `Connection: close`. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -267,7 +267,7 @@
                 put("config_age_ms", gateway.config.ageMs())
                 put("usage_lease_held", usageLease.epochToSend() != null)
                 put("calls_running", callers.runningRequests)
-                put("calls_queued", gateway.queues.size)
+                put("calls_queued", gateway.queues.size + gateway.permits.size)
                 put("entries", gateway.entryCount())
                 putJsonArray("quarantined_parts") { gateway.quarantine.quarantined.forEach { add("$it") } }
                 putJsonArray("instances") {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
@@ -4,6 +4,7 @@
 package io.teaselspring.daemon.gateway
 
 import io.teaselspring.core.InstanceId
+import io.teaselspring.core.UpstreamName
 import io.teaselspring.core.placement.PlacementRequest
 import io.teaselspring.core.placement.PromptPart
 import io.teaselspring.core.placement.chooseInstance
@@ -60,5 +61,14 @@
     return chosen?.let { candidate -> available.firstOrNull { it.registered.id == candidate.id } }
 }
 
+/** Whether a limit holds back an instance of [upstream] that has not been [tried]. */
+internal fun Gateway.isHeldBack(
+    upstream: UpstreamName,
+    tried: Set<InstanceId>,
+): Boolean {
+    val now = nowMs()
+    return instances.available(upstream).any { it.registered.id !in tried && !it.limit.hasPermit(now) }
+}
+
 /** As [STREAM_STALL_MS]; shorter, because non-stream requests take milliseconds. */
 private const val PLAIN_STALL_MS = 300L
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -107,17 +107,34 @@
 
     override fun onQueueTimeout() {
         queueId = null
-        refuseForNow("waited too long")
+        val delayMs = gateway.permitDelayMs(authorised.upstream)
+        if (delayMs == null) refuse("waited too long") else refuse("waited too long for a permit", secondsText(delayMs))
     }
 
-    /** Starts an attempt on an instance that has not been tried yet, or refuses the request if there is none. */
+    /**
+     * Starts an attempt on an instance that has not been tried yet. Waits if a limit holds the instances back, and
+     * refuses the request if there is none.
+     */
     private fun tryNextInstance() {
+        val upstream = authorised.upstream
         val instance = gateway.chooseInstanceFor(authorised, prompt, attempts.tried)
-        if (instance == null) {
-            refuseForNow(if (attempts.tried.isEmpty()) "no instance" else "no further instance")
-            return
+        val mustWait =
+            if (instance == null) {
+                gateway.isHeldBack(upstream, attempts.tried)
+            } else {
+                instance.limit.perSecond != null && gateway.permits.hasMoreUrgent(upstream, authorised.priority)
+            }
+        when {
+            mustWait -> waitForPermit()
+            instance == null -> refuse(if (attempts.tried.isEmpty()) "no instance" else "no further instance")
+            else -> startAttempt(instance, instance.prefixCache.uncachedTokens(prompt, isPreferred = false))
         }
-        startAttempt(instance, instance.prefixCache.uncachedTokens(prompt, isPreferred = false))
+    }
+
+    private fun waitForPermit() {
+        val sinceMs = if (attempts.tried.isEmpty()) arrivedMs else gateway.nowMs()
+        val choose = { gateway.chooseInstanceFor(authorised, prompt, attempts.tried) }
+        gateway.permits.add(authorised.toPermitRequest(prompt, sinceMs, deadlineMs, choose, this))
     }
 
     private fun startAttempt(
@@ -257,12 +274,6 @@
         attempt?.setReading(isWritable)
     }
 
-    /** Refuses the request for [reason], until an instance whose limit holds it back may take it. */
-    private fun refuseForNow(reason: String) {
-        val delayMs = gateway.permitDelayMs(authorised.upstream)
-        if (delayMs == null) refuse(reason) else refuse("$reason within its limit", secondsText(delayMs))
-    }
-
     /**
      * Responds that the request is not executed now; `Retry-After` says when to retry. The status is 503, which states
      * that the request has not run, unless an earlier attempt may have run.
@@ -302,6 +313,7 @@
     ) {
         isFinished = true
         queueId?.let { gateway.queues.remove(authorised.upstream, it) }
+        gateway.permits.remove(this)
         timeout?.cancel(false)
         gateway.metrics.request(if (::authorised.isInitialized) authorised.route.name else "none", outcome)
         stream.firstEventAtMs?.let {
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
@@ -46,6 +46,9 @@
 internal const val STORE_START_MS = 1_000_000L
 private const val NANOS_PER_MS = 1_000_000L
 internal const val SITE_KEY = "k1"
+
+/** Key of an organisation whose requests precede those with [SITE_KEY]. */
+internal const val URGENT_KEY = "k0"
 internal const val PLAIN = "/plain/"
 internal const val ORDER = "/order/"
 internal const val STREAM = "/stream/"
@@ -136,7 +139,7 @@
         RegisteredInstance(InstanceId(id), UPSTREAM, upstream.address, DataCentre("oviedo"), 64, false, 1),
     )
 
-    /** The configuration of the site with [keys] for its one organisation. */
+    /** The configuration of the site with [keys] for its first organisation. */
     fun configOf(
         version: Long,
         keys: Set<String> = setOf(SITE_KEY),
@@ -148,7 +151,10 @@
             route(STREAM, RouteKind.STREAM, attempts = 2),
             route(RESUMED, RouteKind.STREAM, attempts = 2, isResumable = true),
         ),
-        listOf(CallerOrganisation(OrganisationId("hotel"), keys, 1)),
+        listOf(
+            CallerOrganisation(OrganisationId("hotel"), keys, 1),
+            CallerOrganisation(OrganisationId("clinic"), setOf(URGENT_KEY), 0),
+        ),
     )
 
     private fun route(
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/RequestLimitTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/RequestLimitTest.kt
@@ -6,6 +6,7 @@
 
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.doubles.shouldBeLessThan
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.string.shouldContain
@@ -131,12 +132,17 @@
             }
         }
 
-        test("a request that no instance may take is refused with the time of the next permit") {
-            val limited = LimitedUpstream(1.0)
+        test("requests that no instance may take wait by priority, and are refused with the time of the next permit") {
+            val limited = LimitedUpstream(5.0)
             withGateway(limited.upstream) {
-                val responses = sendRequests { call(PLAIN) }
-                limited.mostWithinWindow() shouldBeLessThanOrEqual mostAllowed(1.0)
-                responses.last { "limited" !in it } shouldContain "not run"
+                val responses = sendRequests { call(PLAIN, key = if (it % 2 == 0) SITE_KEY else URGENT_KEY) }
+                limited.mostWithinWindow() shouldBeLessThanOrEqual mostAllowed(5.0)
+                val (plain, urgent) = responses.withIndex().partition { it.index % 2 == 0 }
+                val servedUrgent = urgent.count { "limited" in it.value }
+                servedUrgent shouldBeGreaterThan 4 * plain.drop(2).count { "limited" in it.value }
+                val refusal = responses.last { "limited" !in it }
+                refusal shouldContain "not run"
+                refusal.substringAfter("Retry-After: ").substringBefore("\r\n").toDouble() shouldBeLessThan 2.0
             }
         }
     })
