Read the generation of the store from its responses and log restores

A restore of the store from an older copy looked like an outage in logs and metrics. The generation that each response names, also an error, is now read in one place (StoreGeneration); a restore is logged and counted, and shown on the state page. Nothing acts on a restore yet.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
@@ -48,6 +48,12 @@
             .help("Attempts at instances that state a limit of requests a second, by upstream")
             .labelNames("upstream")
             .register(registry)
+    private val storeRestores =
+        Counter
+            .builder()
+            .name("teaselspring_store_restores_total")
+            .help("Restores of the store from an older copy, as its responses show them")
+            .register(registry)
     private val responseSeconds =
         Histogram
             .builder()
@@ -104,6 +110,8 @@
 
     fun limitedAttempt(upstream: String) = limitedAttempts.labelValues(upstream).inc()
 
+    fun storeRestored() = storeRestores.inc()
+
     fun responded(
         route: String,
         after: Duration,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.nio.NioIoHandler
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.teaselspring.core.freshness.StoreClock
+import io.teaselspring.core.freshness.StoreGeneration
 import io.teaselspring.core.lease.ClockReading
 import io.teaselspring.core.lease.LeaseTimes
 import io.teaselspring.core.registry.RegisteredInstance
@@ -43,7 +44,7 @@
 /**
  * Interfaces to the platform. [storeClock] estimates the store's clock from its responses. Without [readMemory] the
  * queue does not bound the memory of running requests; without [sharedRows] entries don't share what they learn of
- * instances.
+ * instances. [storeGeneration] shows restores of the store from an older copy.
  */
 class GatewayPlatform(
     val table: TableStore,
@@ -53,6 +54,7 @@
     val storeClock: StoreClock,
     val readMemory: ReadMemory? = null,
     val sharedRows: WatchedTable<SharedRow>? = null,
+    val storeGeneration: StoreGeneration = StoreGeneration(),
 )
 
 /**
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -118,6 +118,7 @@
     }
 
     fun startControlLoops() {
+        platform.storeGeneration.onRestored(::onStoreRestored)
         val config = configFollower()
         gateway.config.onStale = { config.readNow(scope) }
         scope.launch { config.run() }
@@ -131,6 +132,11 @@
         if (platform.usage != null) scope.launch { reportUsage(platform.usage) }
     }
 
+    private fun onStoreRestored() {
+        log.warn("event=store_restored generation={}", platform.storeGeneration.current)
+        runtime.metrics.storeRestored()
+    }
+
     private suspend fun reportUsage(intake: UsageIntake) {
         sharedClock.establishOrigin()
         val reporter =
@@ -263,6 +269,7 @@
                 put("incarnation", incarnation.value)
                 put("ready", gateway.isReady)
                 put("draining", gateway.isDraining)
+                put("store_generation", platform.storeGeneration.current)
                 put("config_version", config?.version)
                 put("config_age_ms", gateway.config.ageMs())
                 put("usage_lease_held", usageLease.epochToSend() != null)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HttpCalls.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HttpCalls.kt
@@ -11,7 +11,9 @@
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.teaselspring.daemon.http.Exchange
@@ -28,7 +30,11 @@
 class HttpCallResponse(
     val status: Int,
     val body: ByteArray,
-)
+    private val headers: HttpHeaders,
+) {
+    /** The first value of the header [name], or null. */
+    fun header(name: String): String? = headers[name]
+}
 
 /** Why there is no response; [mayHaveRun] tells whether the server may have received the call. */
 data class HttpCallFailure(
@@ -91,12 +97,14 @@
 ) : ExchangeListener {
     var exchange: Exchange? = null
     private var status = 0
+    private var headers: HttpHeaders = EmptyHttpHeaders.INSTANCE
     private val collected = Unpooled.buffer()
 
     override fun notSent(reason: String) = onResult(HttpCallFailure(reason, mayHaveRun = false).left())
 
     override fun head(response: HttpResponse) {
         status = response.status().code()
+        headers = response.headers()
     }
 
     override fun body(piece: ByteBuf) {
@@ -105,7 +113,7 @@
         if (isOversized) exchange?.fail("response body over $MAX_BUFFERED_BODY_BYTES bytes")
     }
 
-    override fun end() = onResult(HttpCallResponse(status, ByteBufUtil.getBytes(collected)).right())
+    override fun end() = onResult(HttpCallResponse(status, ByteBufUtil.getBytes(collected), headers).right())
 
     override fun broken(reason: String) = onResult(HttpCallFailure(reason, mayHaveRun = true).left())
 }
