Add failing tests: the store comes back from an older copy

The fake platform and the fake tables can be copied and restored; the feed of a fake table returns only what changed, and versions are given out again.

--- a/daemon/src/test/kotlin/io/teaselspring/daemon/control/FakePlatform.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/control/FakePlatform.kt
@@ -40,6 +40,22 @@
     /** Called with each write that is applied. */
     var onApplied: (TableWrite) -> Unit = {}
 
+    /** Rises with each [restore]. */
+    var generation = 1L
+        private set
+
+    /** The rows as they are now. */
+    fun copy(): Map<String, Row> = synchronized(rows) { TreeMap(rows) }
+
+    /** Brings back the rows of [copy] and loses all that was written since. */
+    fun restore(copy: Map<String, Row>) {
+        synchronized(rows) {
+            rows.clear()
+            rows += copy
+            generation += 1
+        }
+    }
+
     private val table =
         object : TableStore {
             override suspend fun get(
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
@@ -12,6 +12,7 @@
 import io.teaselspring.core.OrganisationId
 import io.teaselspring.core.UpstreamName
 import io.teaselspring.core.freshness.StoreClock
+import io.teaselspring.core.freshness.StoreGeneration
 import io.teaselspring.core.lease.ClockReading
 import io.teaselspring.core.registry.RegisteredInstance
 import io.teaselspring.core.routing.CallerOrganisation
@@ -25,6 +26,8 @@
 import io.teaselspring.ports.PlatformError
 import io.teaselspring.ports.TableChanges
 import io.teaselspring.ports.TableContent
+import io.teaselspring.ports.TableStore
+import io.teaselspring.ports.TableWrite
 import io.teaselspring.ports.WatchedTable
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -33,9 +36,11 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.json.JsonElement
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.net.ServerSocket
@@ -56,7 +61,13 @@
 
 /** A watched table in memory. While [isHanging], calls do not return; while [isUnavailable], they fail at once. */
 class FakeWatchedTable<T> : WatchedTable<T> {
-    private val state = MutableStateFlow(TableContent<T>(emptyMap(), 0))
+    /** The rows with the version of their last change; the value of a deleted row is null. */
+    class State<T>(
+        val rows: Map<String, Pair<T?, Long>>,
+        val version: Long,
+    )
+
+    private val state = MutableStateFlow(State<T>(emptyMap(), 0))
     var isHanging = false
     var isUnavailable = false
 
@@ -65,29 +76,83 @@
         key: String,
         value: T?,
     ) {
-        val old = state.value
-        val entries = if (value == null) old.entries - key else old.entries + (key to value)
-        state.value = TableContent(entries, old.version + 1)
+        state.update { State(it.rows + (key to (value to it.version + 1)), it.version + 1) }
+    }
+
+    /** The table as it is now. */
+    fun copy(): State<T> = state.value
+
+    /** Brings back the rows of [copy] and its version, then applies [changes], which get the next versions again. */
+    fun restore(
+        copy: State<T>,
+        changes: List<Pair<String, T?>> = emptyList(),
+    ) {
+        state.value =
+            changes.fold(copy) { old, (key, value) ->
+                State(old.rows + (key to (value to old.version + 1)), old.version + 1)
+            }
     }
 
     override suspend fun read(): Either<PlatformError, TableContent<T>> {
         if (isHanging) awaitCancellation()
-        return if (isUnavailable) unavailable().left() else state.value.right()
+        if (isUnavailable) return unavailable().left()
+        val now = state.value
+        return TableContent(
+            now.rows.filterValues { it.first != null }.mapValues { it.value.first },
+            now.version,
+        ).right()
     }
 
     override suspend fun changes(
         after: Long,
         wait: Duration,
     ): Either<PlatformError, TableChanges<T>> {
-        withTimeoutOrNull(wait) { state.first { it.version > after } }
+        withTimeoutOrNull(wait) { state.first { it.version != after } }
         if (isHanging) awaitCancellation()
+        if (isUnavailable) return unavailable().left()
         val now = state.value
-        return if (isUnavailable) unavailable().left() else TableChanges.Changed(now.entries, now.version).right()
+        if (now.version < after) return TableChanges.HistoryLost.right()
+        val changed = now.rows.filterValues { it.second > after }.mapValues { it.value.first }
+        return TableChanges.Changed(changed, now.version).right()
     }
 
     private fun unavailable() = PlatformError.Unavailable("read", "fake", "away")
 }
 
+/** The table of [platform] as one entry reaches it, which notes the store's clock and generation after each call. */
+private class ObservedTable(
+    private val platform: FakePlatform,
+    private val onResponse: (sentMs: Long) -> Unit,
+) : TableStore {
+    private val table = platform.platform.table
+
+    override suspend fun get(
+        table: String,
+        key: String,
+    ) = observed { it.get(table, key) }
+
+    override suspend fun put(
+        table: String,
+        key: String,
+        value: JsonElement,
+        ifVersion: Long,
+    ) = observed { it.put(table, key, value, ifVersion) }
+
+    override suspend fun scan(
+        table: String,
+        prefix: String,
+        after: String?,
+        limit: Int,
+    ) = observed { it.scan(table, prefix, after, limit) }
+
+    override suspend fun transaction(writes: List<TableWrite>) = observed { it.transaction(writes) }
+
+    private suspend fun <T> observed(call: suspend (TableStore) -> Either<PlatformError, T>): Either<PlatformError, T> {
+        val sentMs = System.nanoTime() / NANOS_PER_MS
+        return call(table).also { if (!platform.outage) onResponse(sentMs) }
+    }
+}
+
 /** The entry with [upstreams] as its instances. [timeoutMs] is the timeout of all routes. */
 class GatewaySite(
     private val upstreams: List<ScriptedUpstream>,
@@ -98,13 +163,17 @@
     sharedRows: FakeWatchedTable<SharedRow>? = null,
     val platform: FakePlatform = FakePlatform(),
     private val startedMs: Long = System.nanoTime() / NANOS_PER_MS,
+    times: GatewayTimes = GatewayTimes(usageWindow = 1.hours, stopLimit),
 ) : AutoCloseable {
     private val storeClock = StoreClock().also { it.observe(STORE_START_MS, startClock(), startClock()) }
+    private val storeGeneration = StoreGeneration()
     val config = FakeWatchedTable<RoutingConfig>()
     val instances = FakeWatchedTable<RegisteredInstance>()
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val callers = freeAddress()
     private val ready = freeAddress()
+    private val runtime = GatewayRuntime()
+    private val loopDispatcher = runtime.dispatcher
     private val running: Running
 
     init {
@@ -113,18 +182,19 @@
         running =
             runBlocking {
                 startGateway(
-                    GatewayRuntime(),
+                    runtime,
                     settings,
                     GatewayAddresses(callers, ready, null, "/ready"),
                     GatewayPlatform(
-                        platform.platform.table,
+                        ObservedTable(platform) { sentMs -> observeStore(sentMs) },
                         config,
                         instances,
                         platform.platform.usage.takeIf { reportsUsage },
                         storeClock,
                         sharedRows = sharedRows,
+                        storeGeneration = storeGeneration,
                     ),
-                    GatewayTimes(usageWindow = 1.hours, stopLimit),
+                    times,
                     scope,
                 )
             }
@@ -177,6 +247,13 @@
         isResumable,
     )
 
+    private fun observeStore(sentMs: Long) {
+        val now = ClockReading(System.nanoTime() / NANOS_PER_MS, System.currentTimeMillis())
+        val sentAt = ClockReading(sentMs, now.wallMs - (now.monotonicMs - sentMs))
+        storeClock.observe(STORE_START_MS + now.monotonicMs - startedMs, sentAt, now)
+        storeGeneration.observe(platform.generation)
+    }
+
     private fun startClock() =
         ClockReading(startedMs, System.currentTimeMillis() - (System.nanoTime() / NANOS_PER_MS - startedMs))
 
@@ -212,6 +289,9 @@
         return "${head}Content-Length: ${body.length}\r\n\r\n$body".toByteArray()
     }
 
+    /** Lets the entry get a response of the store. */
+    suspend fun probeStore() = withContext(loopDispatcher) { observeStore(System.nanoTime() / NANOS_PER_MS) }
+
     /** Drains the entry gracefully. */
     suspend fun drain() = running.drain()
 
@@ -272,9 +352,10 @@
 suspend fun withGateways(
     entries: Int,
     vararg upstreams: ScriptedUpstream,
+    platform: FakePlatform = FakePlatform(),
+    times: GatewayTimes? = null,
     block: suspend (List<GatewaySite>) -> Unit,
 ) {
-    val platform = FakePlatform()
     val sharedRows = FakeWatchedTable<SharedRow>()
     platform.onApplied = { write ->
         if (write.table == SHARED_TABLE) sharedRows.set(write.key, decodeSharedRow(write.key, write.value.toString()))
@@ -289,6 +370,8 @@
                 sharedRows = sharedRows,
                 platform = platform,
                 startedMs = startedMs,
+                reportsUsage = times != null,
+                times = times ?: GatewayTimes(usageWindow = 1.hours, stopLimit = 5.hours),
             )
         }
     try {
