Keep the lease to one holder and new epochs over a restore of the store

A restore of the store brings back an older lease row.

Class of fault: state with the store's versions holds within one generation of the store only. The row now names its generation. A holder ends its term when it learns of a restore. Under a row of an earlier generation nobody acquires before the takeover time has passed, counted from when the restore or the row was first seen; by then every holder under a lost row has ended. The next epoch skips 1,000, more than can have been given out in the lost span. Where the store names no generation nothing changes.

--- a/core/src/main/kotlin/io/teaselspring/core/lease/Lease.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/lease/Lease.kt
@@ -38,6 +38,12 @@
     /** The version condition did not hold, or it is unknown whether the write was applied. */
     public data object WriteUnclear : LeaseEvent
 
+    /**
+     * The store has been restored from an older copy. What was read and written before may be undone, and another
+     * process may act under a row that is lost.
+     */
+    public data object StoreRestored : LeaseEvent
+
     /** The process is stopping and releases the lease. */
     public data object Resign : LeaseEvent
 }
@@ -83,12 +89,13 @@
 )
 
 /**
- * The state machine of the process [own]. [nextWriteId] returns a new id at each call. At most one read or write is in
- * flight at a time. Not thread-safe.
+ * The state machine of the process [own]. [nextWriteId] returns a new id at each call, [generation] the generation of
+ * the store, null if the store names none. At most one read or write is in flight at a time. Not thread-safe.
  */
 public class Lease(
     private val own: Incarnation,
     private val times: LeaseTimes,
+    private val generation: () -> Long? = { null },
     private val nextWriteId: () -> String,
 ) {
     private var lastReading: ClockReading? = null
@@ -99,6 +106,8 @@
     private var nextReadMs = Long.MIN_VALUE
     private var nextWriteMs = Long.MIN_VALUE
     private var resignedAtMs: Long? = null
+    private var restoredAtMs: Long? = null
+    private var highestEpoch = 0L
 
     /** Epoch of the last row observed, 0 if none. */
     public val lastEpoch: Long get() = observed?.row?.epoch ?: 0
@@ -131,10 +140,12 @@
             is LeaseEvent.Written -> onWritten(event.rowVersion, now, actions)
             LeaseEvent.WriteFailed -> onWriteFailed(now)
             LeaseEvent.WriteUnclear -> endOperation(now.monotonicMs)
+            LeaseEvent.StoreRestored -> onStoreRestored(now, actions)
             LeaseEvent.Resign -> onResign(now, actions)
         }
         held?.let { if (now.monotonicMs >= it.untilMs) endTerm("expired", actions) }
-        if (!isOperationInFlight) nextAction(now)?.let { actions += it }
+        // What follows a restore is due at the next tick: the event comes from within a read or a write.
+        if (!isOperationInFlight && event != LeaseEvent.StoreRestored) nextAction(now)?.let { actions += it }
         return actions
     }
 
@@ -156,6 +167,18 @@
         nextReadMs = now.monotonicMs
     }
 
+    private fun onStoreRestored(
+        now: ClockReading,
+        actions: MutableList<LeaseAction>,
+    ) {
+        endTerm("store restored", actions)
+        highestEpoch = maxOf(highestEpoch, lastEpoch)
+        restoredAtMs = now.monotonicMs
+        observed = null
+        pending = null
+        nextReadMs = now.monotonicMs
+    }
+
     private fun endOperation(readAtMs: Long) {
         isOperationInFlight = false
         nextReadMs = readAtMs
@@ -243,24 +266,48 @@
         return when {
             resignedAtMs != null -> releaseWhenDue(now)
             mayWrite && renewAtMs != null && last != null && now.monotonicMs >= renewAtMs ->
-                startWrite(LeaseRow(own, lastEpoch, nextWriteId(), now.storeMs), last.rowVersion, now)
+                startWrite(newRow(lastEpoch, now), last.rowVersion, now)
             mayWrite && held == null && last != null && mayAcquire(last, now) ->
-                startWrite(LeaseRow(own, lastEpoch + 1, nextWriteId(), now.storeMs), last.rowVersion, now)
+                startWrite(newRow(nextEpoch(last.row), now), last.rowVersion, now)
             (held == null || pending != null) && now.monotonicMs >= nextReadMs -> startRead()
             else -> null
         }
     }
 
-    /** Whether no other process can still act under the row [last]; the process may always replace its own row. */
+    private fun newRow(
+        epoch: Long,
+        now: ClockReading,
+    ) = LeaseRow(own, epoch, nextWriteId(), now.storeMs, generation())
+
+    /**
+     * The epoch after that of [row]. If the row is from before a restore, epochs may have been given out that nobody
+     * knows any more; they are skipped.
+     */
+    private fun nextEpoch(row: LeaseRow?): Long {
+        val next = maxOf(row?.epoch ?: 0, highestEpoch) + 1
+        return if (isFromBeforeRestore(row)) next + EPOCHS_PER_GENERATION else next
+    }
+
+    private fun isFromBeforeRestore(row: LeaseRow?): Boolean {
+        val current = generation() ?: return false
+        return if (row == null) restoredAtMs != null else row.generation != current
+    }
+
+    /**
+     * Whether no other process can still act under the row [last], or under one that a restore has undone; the process
+     * may always replace its own row of this generation.
+     */
     private fun mayAcquire(
         last: ObservedRow,
         now: ClockReading,
     ): Boolean {
         val holder = last.row?.holder
-        return holder == null ||
-            holder == own ||
-            now.monotonicMs - last.atMs >= times.takeoverMs ||
-            isExpiredByStoreClock(last.row, now)
+        val hasWaited = now.monotonicMs - (restoredAtMs ?: last.atMs) >= times.takeoverMs
+        return when {
+            isFromBeforeRestore(last.row) -> hasWaited
+            holder == null || holder == own -> true
+            else -> now.monotonicMs - last.atMs >= times.takeoverMs || isExpiredByStoreClock(last.row, now)
+        }
     }
 
     /**
@@ -283,7 +330,7 @@
         val sinceMs = now.monotonicMs - checkNotNull(resignedAtMs)
         val isDue = sinceMs >= times.orderDeadlineMs && pending == null && now.monotonicMs >= nextWriteMs
         return if (isDue && row?.holder == own) {
-            startWrite(LeaseRow(null, row.epoch, nextWriteId()), last.rowVersion, now)
+            startWrite(LeaseRow(null, row.epoch, nextWriteId(), generation = generation()), last.rowVersion, now)
         } else {
             null
         }
@@ -303,4 +350,9 @@
         pending = PendingWrite(row, now.monotonicMs)
         return LeaseAction.Write(row, ifVersion)
     }
+
+    private companion object {
+        /** More than the holders that a lease has within the largest age of a copy. */
+        const val EPOCHS_PER_GENERATION = 1_000L
+    }
 }
--- a/core/src/main/kotlin/io/teaselspring/core/lease/LeaseRow.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/lease/LeaseRow.kt
@@ -11,7 +11,7 @@
  * The row of a lease. [epoch] is the fencing token and rises with each holder. A null [holder] means that the last one
  * released the lease and that its orders have reached their deadline. By [writeId] a writer whose response was lost
  * recognises its own row. [storeMs] is the store's time at which the row was written, or somewhat earlier; null if the
- * writer did not know it.
+ * writer did not know it. [generation] is the generation of the store in which the row was written.
  */
 @Serializable
 public data class LeaseRow(
@@ -19,6 +19,7 @@
     val epoch: Long,
     @SerialName("write_id") val writeId: String,
     @SerialName("store_ms") val storeMs: Long? = null,
+    val generation: Long? = null,
 )
 
 /**
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -57,6 +57,7 @@
             TimeSource.Monotonic,
             times.leaseTimes,
             storeNowMs = { platform.storeClock.certainNowMs(runtime.clock()) },
+            storeGeneration = platform.storeGeneration::current,
         )
     private val limits =
         RequestLimits(
@@ -157,6 +158,7 @@
                     entryCount::store,
                 )::isReadyToReport,
             )
+        platform.storeGeneration.onRestored(usageLease::storeRestored)
         scope.launch { entryCount.run() }
         scope.launch { usage.run(entryCount::value) }
         scope.launch { usageLease.run() }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/lease/LeaseKeeper.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/lease/LeaseKeeper.kt
@@ -40,7 +40,8 @@
 
 /**
  * The lease [name], a row key such as `lease/usage`, for the process [own]. [storeNowMs] returns the store's time where
- * the store has a clock of its own, null while it is not known for certain.
+ * the store has a clock of its own, null while it is not known for certain; [storeGeneration] its generation, if it
+ * names one.
  */
 class LeaseKeeper(
     private val name: String,
@@ -50,8 +51,9 @@
     timeSource: TimeSource,
     private val times: LeaseTimes = LeaseTimes(),
     private val storeNowMs: () -> Long? = { null },
+    storeGeneration: () -> Long? = { null },
 ) {
-    private val lease = Lease(own, times) { UUID.randomUUID().toString() }
+    private val lease = Lease(own, times, storeGeneration) { UUID.randomUUID().toString() }
     private val start = timeSource.markNow()
 
     /** The epoch under which this process may send now, or null. To be asked directly before each send. */
@@ -61,6 +63,12 @@
     fun status(): LeaseStatus =
         synchronized(lease) { LeaseStatus(name, lease.lastHolder, lease.lastEpoch, lease.epochToSend(now()) != null) }
 
+    /** The store has been restored from an older copy. */
+    fun storeRestored() = step(LeaseEvent.StoreRestored).filterIsInstance<LeaseAction.Ended>().forEach(::logEnd)
+
+    private fun logEnd(action: LeaseAction.Ended) =
+        log.info("event=lease_ended lease={} epoch={} reason=\"{}\"", name, action.epoch, action.reason)
+
     /** Takes and renews the lease until cancelled. */
     suspend fun run(interval: Duration = 250.milliseconds): Nothing {
         while (true) {
@@ -85,8 +93,7 @@
                 LeaseAction.Read -> actions += step(read())
                 is LeaseAction.Write -> actions += step(write(action))
                 is LeaseAction.Acquired -> log.info("event=lease_began lease={} epoch={}", name, action.epoch)
-                is LeaseAction.Ended ->
-                    log.info("event=lease_ended lease={} epoch={} reason=\"{}\"", name, action.epoch, action.reason)
+                is LeaseAction.Ended -> logEnd(action)
             }
         }
     }
