Report each window once and whole over a restore of the store

Cause: an entry dropped its counts once the store had acknowledged them, and only the store knew that a window had been reported. After a restore both were gone, and the next holder reported what was left.

Change: entries keep the counts of the last 30 s, and the reporter its last 20 reports with their frozen figures, noted before they are sent. After a restore each entry first stores again the origin of the shared clock and the reports it knows, and then its counts, with the new generation, which vouches for the rest. A window from before the restore is reported only if all entries of it and of the window before, and the reporter itself, have vouched. If one has not by the time the report is due, it cannot be known whether that entry had reported the window: it is marked and left out (usage_skipped), as a missing report costs less than a second one with other counts.

--- a/core/src/main/kotlin/io/teaselspring/core/usage/UsageRows.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/usage/UsageRows.kt
@@ -65,7 +65,8 @@
 /**
  * The row of an entry's incarnation in one window: records of agents that ended before they stored them, or the
  * requests that an entry without agents passed on. With [isFinal] the entry adds nothing more to the window, with
- * [isLeaving] it will have no row in later windows. The row was written at [storedAtMs], in Unix time.
+ * [isLeaving] it will have no row in later windows. The row was written at [storedAtMs], in Unix time, when all that
+ * the entry knows of reported windows was stored in the [generation] of the store.
  */
 @Serializable
 public data class EntryUsageRow(
@@ -74,6 +75,7 @@
     @SerialName("final") val isFinal: Boolean = false,
     @SerialName("leaving") val isLeaving: Boolean = false,
     @SerialName("stored_at_ms") val storedAtMs: Long? = null,
+    val generation: Long? = null,
 )
 
 /** The figures of a closed window, fixed before they are reported, under the lease's [epoch]. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/DirectUsage.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/DirectUsage.kt
@@ -23,7 +23,8 @@
 import io.teaselspring.ports.ABSENT
 import io.teaselspring.ports.PlatformError
 import io.teaselspring.ports.describe
-import kotlinx.coroutines.delay
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.encodeToJsonElement
 import org.slf4j.LoggerFactory
 import java.util.TreeMap
@@ -60,6 +61,10 @@
     private val lengthMs: Long,
 ) {
     private val windows = TreeMap<UsageWindow, WindowCounts>()
+    private val restored = Channel<Unit>(Channel.CONFLATED)
+
+    /** The generation of the store in which all that this entry knows of reported windows is stored. */
+    private var generation: Long? = null
     private var isStopping = false
 
     /** Counts a request of [organisation] that has started to run. */
@@ -75,11 +80,22 @@
             val stepMs = lengthMs / storesPerWindow(entries())
             // The last write of a window comes shortly after its end, when all its requests have been counted.
             val nowMs = clock.now().toEpochMilliseconds()
-            delay((stepMs - Math.floorMod(nowMs - STORE_AFTER_END_MS, stepMs)).milliseconds.coerceAtLeast(MIN_WAIT))
+            val wait = (stepMs - Math.floorMod(nowMs - STORE_AFTER_END_MS, stepMs)).milliseconds.coerceAtLeast(MIN_WAIT)
+            withTimeoutOrNull(wait) { restored.receive() }
             flush()
         }
     }
 
+    /**
+     * Stores the counts of recent windows again, because the store may have lost them. What this entry knows of
+     * reported windows is stored in [generation] of the store.
+     */
+    fun storeAgain(generation: Long?) {
+        this.generation = generation
+        windows.values.forEach { it.isStored = false }
+        restored.trySend(Unit)
+    }
+
     /** Stores all counts and marks them as the last ones of this entry; returns whether that succeeded. */
     suspend fun storeFinalCounts(): Boolean {
         isStopping = true
@@ -95,7 +111,8 @@
         windows.getOrPut(current) { WindowCounts() }
         val open = windows.filter { (window, counts) -> !counts.isStored || (window < current && !counts.isFinal) }
         open.forEach { (window, counts) -> store(window, counts, isFinal = isStopping || window < current) }
-        windows.entries.removeIf { (window, counts) -> counts.isStored && window < current }
+        val oldest = UsageWindow(current.startMs - maxOf(RETAINED_MS, 2 * lengthMs))
+        windows.entries.removeIf { (window, counts) -> counts.isStored && window < oldest }
     }
 
     private suspend fun store(
@@ -125,6 +142,7 @@
                 counts.isFinal,
                 isStopping,
                 clock.now().toEpochMilliseconds(),
+                generation,
             )
         val writes =
             listOf(
@@ -156,6 +174,9 @@
         private const val MAX_LOSS_DIVISOR = 20
         private const val MAX_STORES_PER_WINDOW = 4
 
+        /** Counts are kept for longer than a copy is old from which the store may be restored. */
+        private const val RETAINED_MS = 30_000L
+
         /** How often each of [entries] entries stores its counts in a window. */
         fun storesPerWindow(entries: Int): Int =
             ceil(MAX_LOSS_DIVISOR.toDouble() / entries).toInt().coerceAtMost(MAX_STORES_PER_WINDOW)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -17,6 +17,7 @@
 import io.teaselspring.daemon.usage.UsageTable
 import io.teaselspring.ports.UsageIntake
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -92,6 +93,7 @@
             ),
         )
     private var onConfigOutageEnded: () -> Unit = {}
+    private val storeUsageAgain = Channel<Unit>(Channel.CONFLATED)
     private val callers =
         CallerConnections(
             CallerConnectionContext(
@@ -125,7 +127,8 @@
         scope.launch { config.run() }
         scope.launch { registryFollower().run() }
         platform.sharedRows?.let {
-            onConfigOutageEnded = SharedRows(gateway.quarantine.reports, limits).follow(it, scope, runtime.clock)
+            onConfigOutageEnded =
+                SharedRows(gateway.quarantine.reports, limits).follow(it, scope, runtime.clock)
             scope.launch { gateway.quarantine.reports.run() }
         }
         scope.launch { limits.run() }
@@ -140,6 +143,16 @@
 
     private suspend fun reportUsage(intake: UsageIntake) {
         sharedClock.establishOrigin()
+        val completeness =
+            UsageCompleteness(
+                incarnation,
+                usageTable,
+                sharedClock,
+                times.usageWindow.inWholeMilliseconds,
+                times.usagePatience,
+                entryCount::store,
+                platform.storeGeneration::current,
+            )
         val reporter =
             UsageReporter(
                 incarnation,
@@ -150,21 +163,37 @@
                 times.usageWindow.inWholeMilliseconds,
                 times.usageGrace,
                 times.leaseTimes.orderDeadlineMs.milliseconds,
-                UsageCompleteness(
-                    usageTable,
-                    sharedClock,
-                    times.usageWindow.inWholeMilliseconds,
-                    times.usagePatience,
-                    entryCount::store,
-                )::isReadyToReport,
+                completeness::readiness,
             )
-        platform.storeGeneration.onRestored(usageLease::storeRestored)
+        usage.storeAgain(platform.storeGeneration.current)
+        platform.storeGeneration.onRestored {
+            usageLease.storeRestored()
+            completeness.storeRestored()
+            storeUsageAgain.trySend(Unit)
+        }
+        scope.launch { runUsageRecovery(reporter) }
         scope.launch { entryCount.run() }
         scope.launch { usage.run(entryCount::value) }
         scope.launch { usageLease.run() }
         scope.launch { reporter.run(times.usageInterval) }
     }
 
+    /**
+     * After each restore of the store, stores again what the usage of recent windows depends on: the origin of the
+     * shared clock, what this entry knows of reported windows, and only then its counts, which vouch for the rest.
+     */
+    private suspend fun runUsageRecovery(reporter: UsageReporter): Nothing {
+        while (true) {
+            storeUsageAgain.receive()
+            do {
+                val generation = platform.storeGeneration.current
+                val isStored = sharedClock.storeAgain().isRight() && reporter.storeAgain().isRight()
+                if (!isStored) delay(FLUSH_RETRY_INTERVAL)
+            } while (!isStored || generation != platform.storeGeneration.current)
+            usage.storeAgain(platform.storeGeneration.current)
+        }
+    }
+
     private suspend fun housekeeping(): Nothing {
         while (true) {
             delay(HOUSEKEEPING_INTERVAL)
@@ -215,7 +244,9 @@
                     afterOutage: Boolean,
                 ) {
                     val byId = rows.mapKeys { InstanceId(it.key) }
-                    instances.apply(instances.registry.replace(byId, afterOutage, runtime.nowMs()))
+                    instances.apply(
+                        instances.registry.replace(byId, afterOutage, runtime.nowMs()),
+                    )
                     instances.isLoaded = true
                 }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SharedClock.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SharedClock.kt
@@ -4,6 +4,9 @@
  */
 package io.teaselspring.daemon.gateway
 
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
 import io.teaselspring.daemon.config.TABLE
 import io.teaselspring.ports.ABSENT
 import io.teaselspring.ports.PlatformError
@@ -47,6 +50,15 @@
         log.info("event=clock_established origin_ms={}", originMs)
     }
 
+    /** Stores the origin again if a restore of the store has lost it. */
+    suspend fun storeAgain(): Either<PlatformError, Unit> {
+        val origin = originMs ?: return Unit.right()
+        return table.put(TABLE, ORIGIN_KEY, JsonPrimitive(origin), ABSENT).fold(
+            { if (it is PlatformError.Conflict) Unit.right() else it.left() },
+            { Unit.right() },
+        )
+    }
+
     private suspend fun readOrigin(): Long? =
         table.get(TABLE, ORIGIN_KEY).fold(
             { logUnknownOrigin(it) },
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UsageCompleteness.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UsageCompleteness.kt
@@ -12,6 +12,7 @@
 import io.teaselspring.core.usage.EntryUsageRow
 import io.teaselspring.core.usage.UsageWindow
 import io.teaselspring.daemon.usage.UsageTable
+import io.teaselspring.daemon.usage.WindowReadiness
 import io.teaselspring.ports.PlatformError
 import org.slf4j.LoggerFactory
 import kotlin.time.Clock
@@ -21,31 +22,64 @@
 
 /**
  * Waits for the counts of entries for at most [allowedLateness] after the end of a window of [lengthMs].
- * [onEntriesCounted] gets the number of entries that had a row in a window.
+ * [own] is the entry that reports. [onEntriesCounted] gets the number of entries that had a row in a window.
  */
 internal class UsageCompleteness(
+    private val own: Incarnation,
     private val table: UsageTable,
     private val clock: Clock,
     private val lengthMs: Long,
     private val allowedLateness: Duration,
     private val onEntriesCounted: suspend (entries: Int) -> Unit,
+    private val storeGeneration: () -> Long? = { null },
 ) {
     private var lastReported: Pair<UsageWindow, Map<Incarnation, EntryUsageRow>>? = null
 
+    /** When the last restore of the store was seen; null if none was. */
+    private var restoredAtMs: Long? = null
+
+    /** The store has been restored from an older copy. */
+    fun storeRestored() {
+        restoredAtMs = clock.now().toEpochMilliseconds()
+        lastReported = null
+    }
+
     /** Whether all counts of [window] are stored, or [allowedLateness] has passed since its end. */
-    suspend fun isReadyToReport(window: UsageWindow): Either<PlatformError, Boolean> {
+    suspend fun readiness(window: UsageWindow): Either<PlatformError, WindowReadiness> {
         val expected = expectedEntries(window).getOrElse { return it.left() }
         val rows = table.entryRows(window).getOrElse { return it.left() }
-        val missing = (expected + rows).filter { (entry, last) -> !isFinished(entry, last, rows) }.keys
+        val isRestored = isFromBeforeRestore(window, expected.values + rows.values)
+        val missing =
+            if (isRestored) {
+                (expected.keys + rows.keys + own).filterNot { isStoredSinceRestore(rows[it]) }
+            } else {
+                (expected + rows).filter { (entry, last) -> !isFinished(entry, last, rows) }.keys
+            }
         val nowMs = clock.now().toEpochMilliseconds()
         val isPastLateness = nowMs - window.startMs - lengthMs >= allowedLateness.inWholeMilliseconds
-        if (missing.isNotEmpty() && !isPastLateness) return false.right()
+        if (missing.isNotEmpty() && !isPastLateness) return WindowReadiness.WAITING.right()
         if (missing.isNotEmpty()) log.warn("event=usage_incomplete window={} missing={}", window.id, missing)
         lastReported = window to withoutStopped(rows)
         onEntriesCounted(withoutStopped(rows).keys.distinctBy { it.instance }.size)
-        return true.right()
+        return (if (isRestored && missing.isNotEmpty()) WindowReadiness.UNKNOWN else WindowReadiness.READY).right()
     }
 
+    /**
+     * Whether [window] began before the last restore, so that rows of it and the fact that it was reported may be lost.
+     * A process that started since sees that from rows that were written in an earlier generation.
+     */
+    private fun isFromBeforeRestore(
+        window: UsageWindow,
+        rows: List<EntryUsageRow>,
+    ): Boolean {
+        val generation = storeGeneration() ?: return false
+        return restoredAtMs.let { it != null && window.startMs < it } || rows.any { it.generation != generation }
+    }
+
+    /** An entry stores what it knows of reported windows before it stores its counts in a new generation. */
+    private fun isStoredSinceRestore(row: EntryUsageRow?) =
+        row != null && row.isFinal && row.generation == storeGeneration()
+
     /** Whether [entry] will store no more counts; its [last] row is of this window or the previous one. */
     private fun isFinished(
         entry: Incarnation,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/usage/UsageReporter.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/usage/UsageReporter.kt
@@ -36,14 +36,29 @@
 /** Windows that a new lease holder looks back over for one that is not reported. */
 private const val MAX_WINDOWS_BACK = 200
 
+/** Reports that are stored again after a restore of the store; more than fall into the largest age of a copy. */
+private const val MAX_SENT = 20
+
+/** Whether a window can be reported. */
+enum class WindowReadiness {
+    /** Usage may still be added. */
+    WAITING,
+
+    /** The counts are final, or waiting for more is over. */
+    READY,
+
+    /** A restore of the store has undone writes, and it can no longer be known whether the window was reported. */
+    UNKNOWN,
+}
+
 /** Name of the lease in the table. */
 const val USAGE_LEASE = "lease/usage"
 
 /**
  * Reports windows that ended at least [grace] ago; the grace leaves agents time for their last flush. [epochToSend]
  * tells whether this process holds the lease at this moment. A report is given up after [deadline], well within the
- * time that a successor waits. A window is closed only when [isSettled] says that no usage of it is missing, or that
- * waiting for it is over.
+ * time that a successor waits. A window is closed only when its [readiness] says that no usage of it is missing, or
+ * that waiting for it is over.
  */
 class UsageReporter(
     private val own: Incarnation,
@@ -54,10 +69,22 @@
     private val lengthMs: Long,
     private val grace: Duration = 30.seconds,
     private val deadline: Duration = 1.seconds,
-    private val isSettled: suspend (UsageWindow) -> Either<PlatformError, Boolean> = { true.right() },
+    private val readiness: suspend (UsageWindow) -> Either<PlatformError, WindowReadiness> =
+        { WindowReadiness.READY.right() },
 ) {
+    private class SentReport(
+        val frozen: FrozenWindow,
+        var isConfirmed: Boolean = false,
+    )
+
     private var reportedUpTo: UsageWindow? = null
 
+    /** The last reports that this process has sent or was about to send. */
+    private val sent =
+        object : LinkedHashMap<UsageWindow, SentReport>() {
+            override fun removeEldestEntry(eldest: MutableMap.MutableEntry<UsageWindow, SentReport>) = size > MAX_SENT
+        }
+
     /** Looks for windows to report every [interval], until cancelled. */
     suspend fun run(interval: Duration = 5.seconds): Nothing {
         while (true) {
@@ -70,8 +97,12 @@
     suspend fun reportDue(): Either<PlatformError, Unit> {
         val due = dueWindows().getOrElse { return it.left() }
         for (window in due) {
-            if (!isSettled(window).getOrElse { return it.left() }) break
-            val error = report(window).leftOrNull()
+            val error =
+                when (readiness(window).getOrElse { return it.left() }) {
+                    WindowReadiness.WAITING -> break
+                    WindowReadiness.READY -> report(window).leftOrNull()
+                    WindowReadiness.UNKNOWN -> skip(window).leftOrNull()
+                }
             if (error != null) {
                 log.warn("event=usage_report_failed window={} {}", window.id, error.describe())
                 return error.left()
@@ -103,13 +134,32 @@
             val body = reportBody(frozen.figures)
             // Nothing may come between this check and the send.
             val epoch = ensureNotNull(epochToSend()) { notHeld() }
+            val report = sent.getOrPut(window) { SentReport(frozen) }
             val late = PlatformError.Ambiguous("usage-report", "intake", "no answer within $deadline")
-            val sent = withTimeoutOrNull(deadline) { intake.report(UsageReport(window.id, epoch, own.value, body)) }
-            (sent ?: late.left()).bind()
+            val result = withTimeoutOrNull(deadline) { intake.report(UsageReport(window.id, epoch, own.value, body)) }
+            (result ?: late.left()).bind()
+            report.isConfirmed = true
             log.info("event=usage_reported window={} epoch={} lines={}", window.id, epoch, frozen.figures.size)
             table.markReported(window, epoch).bind()
         }
 
+    /** Leaves [window] unreported: it may have been reported before the store lost that, with other figures. */
+    private suspend fun skip(window: UsageWindow): Either<PlatformError, Unit> =
+        either {
+            val epoch = ensureNotNull(epochToSend()) { notHeld() }
+            log.warn("event=usage_skipped window={} epoch={} reason=\"may be reported already\"", window.id, epoch)
+            table.markReported(window, epoch).bind()
+        }
+
+    /** Stores again what this process knows of its last reports, which the store may have lost. */
+    suspend fun storeAgain(): Either<PlatformError, Unit> =
+        either {
+            for ((window, report) in sent.toMap()) {
+                table.freeze(window, report.frozen).bind()
+                if (report.isConfirmed) table.markReported(window, report.frozen.epoch).bind()
+            }
+        }
+
     private suspend fun frozenFigures(window: UsageWindow): Either<PlatformError, FrozenWindow> =
         either {
             table.frozen(window).bind() ?: run {
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/DirectUsageTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/DirectUsageTest.kt
@@ -39,7 +39,10 @@
 
     fun reporter(): UsageReporter {
         val completeness =
-            UsageCompleteness(table, clock, LENGTH_MS, allowedLateness = 7.seconds, { counted += it })
+            UsageCompleteness(Incarnation("reporter"), table, clock, LENGTH_MS, allowedLateness = 7.seconds, {
+                counted +=
+                    it
+            })
         return UsageReporter(
             Incarnation("reporter"),
             table,
@@ -48,7 +51,7 @@
             { 1 },
             LENGTH_MS,
             grace = 600.milliseconds,
-            isSettled = completeness::isReadyToReport,
+            readiness = completeness::readiness,
         )
     }
 
