Read followed tables anew after a restore of the store

A follower waits for changes after a version. After a restore the store's counter can pass that version; the poll then returns later changes and skips those between the copy and it, so a configuration written there was never applied.

RestoredStoreTest: a configuration between the copy and the versions of before, never applied before.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -128,7 +128,11 @@
         scope.launch { registryFollower().run() }
         platform.sharedRows?.let {
             onConfigOutageEnded =
-                SharedRows(gateway.quarantine.reports, limits).follow(it, scope, runtime.clock)
+                SharedRows(
+                    gateway.quarantine.reports,
+                    limits,
+                    platform.storeGeneration,
+                ).follow(it, scope, runtime.clock)
             scope.launch { gateway.quarantine.reports.run() }
         }
         scope.launch { limits.run() }
@@ -214,10 +218,10 @@
                 override fun onSnapshot(
                     rows: Map<String, RoutingConfig?>,
                     askedAt: ClockReading,
-                    afterOutage: Boolean,
+                    gap: TableGap,
                 ) {
                     applyNewestConfig(rows, askedAt)
-                    if (afterOutage) onConfigOutageEnded()
+                    if (gap != TableGap.NONE) onConfigOutageEnded()
                 }
 
                 override fun onChanges(
@@ -225,6 +229,7 @@
                     askedAt: ClockReading,
                 ) = applyNewestConfig(changes, askedAt)
             },
+            platform.storeGeneration,
         )
 
     private fun applyNewestConfig(
@@ -241,11 +246,11 @@
                 override fun onSnapshot(
                     rows: Map<String, RegisteredInstance?>,
                     askedAt: ClockReading,
-                    afterOutage: Boolean,
+                    gap: TableGap,
                 ) {
                     val byId = rows.mapKeys { InstanceId(it.key) }
                     instances.apply(
-                        instances.registry.replace(byId, afterOutage, runtime.nowMs()),
+                        instances.registry.replace(byId, gap != TableGap.NONE, runtime.nowMs()),
                     )
                     instances.isLoaded = true
                 }
@@ -258,7 +263,14 @@
                 }
             }
         val followTimes = FollowTimes(wait = REGISTRY_WATCH_WAIT, interval = times.registryInterval)
-        return TableFollower("instances", platform.instances, followTimes, runtime.clock, listener)
+        return TableFollower(
+            "instances",
+            platform.instances,
+            followTimes,
+            runtime.clock,
+            listener,
+            platform.storeGeneration,
+        )
     }
 
     /**
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SharedRows.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SharedRows.kt
@@ -4,6 +4,7 @@
  */
 package io.teaselspring.daemon.gateway
 
+import io.teaselspring.core.freshness.StoreGeneration
 import io.teaselspring.core.lease.ClockReading
 import io.teaselspring.core.limit.LimitAnnouncement
 import io.teaselspring.core.quarantine.CrashReport
@@ -55,11 +56,12 @@
 internal class SharedRows(
     private val crashes: CrashReports,
     private val limits: RequestLimits,
+    private val generation: StoreGeneration,
 ) : TableListener<SharedRow> {
     override fun onSnapshot(
         rows: Map<String, SharedRow?>,
         askedAt: ClockReading,
-        afterOutage: Boolean,
+        gap: TableGap,
     ) {
         crashes.replaceAll(crashReports(rows))
         limits.adopt(announcements(rows))
@@ -83,7 +85,7 @@
         clock: () -> ClockReading,
     ): () -> Unit {
         val times = FollowTimes(wait = 10.seconds, interval = 100.milliseconds)
-        val follower = TableFollower("shared", table, times, clock, this)
+        val follower = TableFollower("shared", table, times, clock, this, generation)
         var job = scope.launch { follower.run() }
         return {
             job.cancel()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/TableFollower.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/TableFollower.kt
@@ -6,6 +6,7 @@
 package io.teaselspring.daemon.gateway
 
 import arrow.core.Either
+import io.teaselspring.core.freshness.StoreGeneration
 import io.teaselspring.core.lease.ClockReading
 import io.teaselspring.ports.PlatformError
 import io.teaselspring.ports.TableChanges
@@ -34,13 +35,24 @@
     val maxRetryDelay: Duration = 600.milliseconds,
 )
 
+/** What a follower may have missed before a snapshot. */
+internal enum class TableGap {
+    NONE,
+
+    /** Changes while the table was unavailable. */
+    OUTAGE,
+
+    /** The store was restored from an older copy: rows may be older than those known, or missing without a deletion. */
+    RESTORE,
+}
+
 /** Receives the state of a watched table; [askedAt] is the time just before the call was sent. */
 internal interface TableListener<T> {
-    /** All rows of the table; with [afterOutage], changes may have been missed because the table was unavailable. */
+    /** All rows of the table, after [gap]. */
     fun onSnapshot(
         rows: Map<String, T?>,
         askedAt: ClockReading,
-        afterOutage: Boolean,
+        gap: TableGap,
     )
 
     /** The rows that have changed, possibly none. */
@@ -50,20 +62,32 @@
     )
 }
 
-/** Follows [table], called [name] in logs. */
+/** Follows [table], called [name] in logs, over the restores that [generation] shows. */
 internal class TableFollower<T>(
     private val name: String,
     private val table: WatchedTable<T>,
     private val times: FollowTimes,
     private val clock: () -> ClockReading,
     private val listener: TableListener<T>,
+    generation: StoreGeneration? = null,
     private val random: Random = Random.Default,
 ) {
     private var version: Long? = null
+    private var restores = 0
+    private var isRestored = false
     private var unavailableSinceMs: Long? = null
     private var failures = 0
     private var isReadingSnapshot = false
 
+    init {
+        generation?.onRestored {
+            // Versions are given out again, so none of before may be waited after or compared with.
+            restores += 1
+            isRestored = true
+            version = null
+        }
+    }
+
     /** Follows the table until cancelled. */
     suspend fun run(): Nothing {
         while (true) {
@@ -103,10 +127,11 @@
     private suspend fun pollOnce(): PlatformError? {
         val after = version ?: return readSnapshot()
         val askedAt = clock()
+        val restoresBefore = restores
         return when (val result = table.changes(after, times.wait)) {
             is Either.Left -> result.value
             is Either.Right -> {
-                applyChanges(result.value, askedAt)
+                if (restores == restoresBefore) applyChanges(result.value, askedAt)
                 null
             }
         }
@@ -131,10 +156,12 @@
 
     private suspend fun readSnapshot(): PlatformError? {
         val askedAt = clock()
+        val restoresBefore = restores
         return when (val result = table.read()) {
             is Either.Left -> result.value
             is Either.Right -> {
-                applySnapshot(result.value, askedAt)
+                // What was read across a restore may be of either generation; the next poll reads it again.
+                if (restores == restoresBefore) applySnapshot(result.value, askedAt)
                 null
             }
         }
@@ -146,10 +173,16 @@
     ) {
         // Ignore a snapshot older than the known version: a later call has overtaken it, and it would restore old rows.
         if (snapshot.version < (version ?: 0)) return
-        val wasUnavailable = unavailableSinceMs != null
+        val gap =
+            when {
+                isRestored -> TableGap.RESTORE
+                unavailableSinceMs != null -> TableGap.OUTAGE
+                else -> TableGap.NONE
+            }
         recordRecovery()
         version = snapshot.version
-        listener.onSnapshot(snapshot.entries, askedAt, wasUnavailable)
+        isRestored = false
+        listener.onSnapshot(snapshot.entries, askedAt, gap)
     }
 
     private fun recordFailure(error: PlatformError) {
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
@@ -153,6 +153,24 @@
     }
 }
 
+/** [table] as one entry reaches it, which notes the store's clock and generation after each call. */
+private class ObservedWatchedTable<T>(
+    private val table: WatchedTable<T>,
+    private val onResponse: (sentMs: Long) -> Unit,
+) : WatchedTable<T> {
+    override suspend fun read() = observed { table.read() }
+
+    override suspend fun changes(
+        after: Long,
+        wait: Duration,
+    ) = observed { table.changes(after, wait) }
+
+    private suspend fun <R> observed(call: suspend () -> Either<PlatformError, R>): Either<PlatformError, R> {
+        val sentMs = System.nanoTime() / NANOS_PER_MS
+        return call().onRight { onResponse(sentMs) }
+    }
+}
+
 /** The entry with [upstreams] as its instances. [timeoutMs] is the timeout of all routes. */
 class GatewaySite(
     private val upstreams: List<ScriptedUpstream>,
@@ -186,12 +204,12 @@
                     settings,
                     GatewayAddresses(callers, ready, null, "/ready"),
                     GatewayPlatform(
-                        ObservedTable(platform) { sentMs -> observeStore(sentMs) },
-                        config,
-                        instances,
+                        ObservedTable(platform, ::observeStore),
+                        ObservedWatchedTable(config, ::observeStore),
+                        ObservedWatchedTable(instances, ::observeStore),
                         platform.platform.usage.takeIf { reportsUsage },
                         storeClock,
-                        sharedRows = sharedRows,
+                        sharedRows = sharedRows?.let { ObservedWatchedTable(it, ::observeStore) },
                         storeGeneration = storeGeneration,
                     ),
                     times,
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/RestoredStoreTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/RestoredStoreTest.kt
@@ -115,7 +115,7 @@
                 val upstream = answering { arrivedMs += System.currentTimeMillis() }
                 withGateways(ENTRIES, upstream, platform = platform, times = quickTimes) { sites ->
                     coroutineScope {
-                        val requests = async { sites.sendRequests(forMs = 11_000) }
+                        val traffic = async { sites.sendRequests(forMs = 11_000) }
                         delay(1_000 - System.currentTimeMillis() % 1_000 + phaseMs)
                         delay(1_500)
                         repeat(2) {
@@ -124,7 +124,7 @@
                             platform.restoreAfterOutage(copy)
                             delay(1_000)
                         }
-                        requests.await()
+                        traffic.await()
                         delay(3_500)
                     }
                     platform.checkReports()
@@ -138,7 +138,13 @@
                     }
                     val reported = platform.reports.distinctBy { it.window }.sumOf(::requestsIn)
                     val arrived = arrivedMs.count { it >= windows.first() && it < windows.last() + 1_000 }
-                    withClue("$reported reported of $arrived") {
+                    val requests =
+                        platform.reports.map { report ->
+                            val startMs = report.window.toLong()
+                            val begun = arrivedMs.count { it >= startMs && it < startMs + 1_000 }
+                            "$startMs by ${report.epoch}: ${requestsIn(report)} of $begun"
+                        }
+                    withClue("$reported reported of $arrived: $requests") {
                         reported.toInt() shouldBeInRange arrived * 95 / 100..arrived * 105 / 100
                     }
                 }
@@ -178,8 +184,7 @@
                 delay(SETTLE_MS)
                 // Nothing fails: a poll waits over the restore, and the versions have passed the one it waits after.
                 val others = List(9) { "other-$it" to configOf(version = 1) }
-                config.restore(copy, listOf("config" to configOf(version = 10, keys = setOf("k2"))) + others)
-                restoreGeneration()
+                restore(config, copy, listOf("config" to configOf(version = 10, keys = setOf("k2"))) + others)
                 eventually { call(PLAIN) shouldStartWith "HTTP/1.1 401" }
             }
         }
@@ -189,8 +194,7 @@
                 val copy = config.copy()
                 config.set("config", configOf(version = 2, keys = setOf("k2")))
                 eventually { call(PLAIN, key = "k2") shouldStartWith "HTTP/1.1 200" }
-                config.restore(copy)
-                restoreGeneration()
+                restore(config, copy)
                 delay(CONFIRMATION_MS)
                 repeat(30) {
                     isReady() shouldBe false
@@ -213,8 +217,7 @@
                     rows.set("entry-$ms", SharedRow.Crashes(CrashReport(listOf(crash))))
                 }
                 eventually { ask("bad:10,own:1") shouldStartWith "HTTP/1.1 503" }
-                rows.restore(copy)
-                restoreGeneration()
+                restore(rows, copy)
                 delay(SETTLE_MS)
                 ask("bad:10,own:2") shouldStartWith "HTTP/1.1 503"
             }
@@ -238,8 +241,7 @@
                 )
                 delay(SETTLE_MS)
                 val before = leaving.requests.value.size
-                instances.restore(copy)
-                restoreGeneration()
+                restore(instances, copy)
                 repeat(20) { call(PLAIN) shouldStartWith "HTTP/1.1 200" }
                 delay(2 * SETTLE_MS)
                 repeat(20) { call(PLAIN) shouldStartWith "HTTP/1.1 200" }
@@ -256,8 +258,13 @@
 
 private fun GatewaySite.ask(parts: String) = call(STREAM, headers = "X-Prompt-Parts: $parts\r\n")
 
-/** The store names its next generation in its next response, which the entry gets now. */
-private suspend fun GatewaySite.restoreGeneration() {
+/** Restores [table] from [copy] and applies [changes]; the responses of the store name its next generation. */
+private suspend fun <T> GatewaySite.restore(
+    table: FakeWatchedTable<T>,
+    copy: FakeWatchedTable.State<T>,
+    changes: List<Pair<String, T?>> = emptyList(),
+) {
     platform.restore(platform.copy())
+    table.restore(copy, changes)
     probeStore()
 }
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/TableFollowerTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/TableFollowerTest.kt
@@ -50,9 +50,9 @@
     override fun onSnapshot(
         rows: Map<String, String?>,
         askedAt: ClockReading,
-        afterOutage: Boolean,
+        gap: TableGap,
     ) {
-        lines += "all $rows" + if (afterOutage) " after an outage" else ""
+        lines += "all $rows" + if (gap == TableGap.OUTAGE) " after an outage" else ""
     }
 
     override fun onChanges(
