Let no older configuration confirm the one in force

A store that was restored may know only an older configuration than an entry, until the operator's changes are written again. Versions never fall in an entry, but reads of the older one counted as proof that its own was the newest, so the bound on withdrawn keys rested on nothing. Such reads now confirm nothing; the age grows until this version or a newer one is read.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ConfigState.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ConfigState.kt
@@ -22,6 +22,7 @@
 ) {
     private val freshness = Freshness()
     private val waiters = ArrayList<Waiter>()
+    private var isStoreBehind = false
 
     /** The newest configuration known, null before the first read. */
     var current: RoutingConfig? = null
@@ -33,12 +34,19 @@
     /** Upper bound of the age of [current] in milliseconds; null if it is unknown. */
     fun ageMs(): Long? = freshness.ageMs(clock())
 
-    /** Records that a read sent at [askedAt] returned [config] as the newest, or nothing newer than [current]. */
+    /**
+     * Records that a read sent at [askedAt] returned [config] as the newest, or nothing newer than what was read
+     * before; [isComplete] if it read the whole table. A store that was restored may know only an older configuration
+     * than [current]; it confirms nothing until a newer one is written or this one is written again.
+     */
     fun recordConfirmation(
         askedAt: ClockReading,
         config: RoutingConfig?,
+        isComplete: Boolean,
     ) {
         if (config != null) apply(config)
+        if (config != null || isComplete) isStoreBehind = (config?.version ?: -1) < (current?.version ?: -1)
+        if (isStoreBehind) return
         freshness.recordRead(askedAt, clock())
         val satisfied = waiters.filter { waiter -> ageMs().isBelow(waiter.maxAgeMs) }
         waiters -= satisfied.toSet()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -220,14 +220,14 @@
                     askedAt: ClockReading,
                     gap: TableGap,
                 ) {
-                    applyNewestConfig(rows, askedAt)
+                    applyNewestConfig(rows, askedAt, isComplete = true)
                     if (gap != TableGap.NONE) onConfigOutageEnded()
                 }
 
                 override fun onChanges(
                     changes: Map<String, RoutingConfig?>,
                     askedAt: ClockReading,
-                ) = applyNewestConfig(changes, askedAt)
+                ) = applyNewestConfig(changes, askedAt, isComplete = false)
             },
             platform.storeGeneration,
         )
@@ -235,8 +235,10 @@
     private fun applyNewestConfig(
         rows: Map<String, RoutingConfig?>,
         askedAt: ClockReading,
+        isComplete: Boolean,
     ) {
-        gateway.config.recordConfirmation(askedAt, rows.values.filterNotNull().maxByOrNull { it.version })
+        val newest = rows.values.filterNotNull().maxByOrNull { it.version }
+        gateway.config.recordConfirmation(askedAt, newest, isComplete)
     }
 
     private fun registryFollower(): TableFollower<RegisteredInstance> {
