--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CrashReports.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CrashReports.kt
@@ -73,10 +73,21 @@
     var isLoaded = false
         private set
 
-    /** Replaces the reports of all other entries by [rows]. */
-    fun replaceAll(rows: Map<String, CrashReport?>) {
+    /**
+     * Replaces the reports of all other entries by [rows]. If these are not complete, because the store has lost some,
+     * known reports stay, and this entry's own is stored again, as the others store theirs.
+     */
+    fun replaceAll(
+        rows: Map<String, CrashReport?>,
+        isComplete: Boolean,
+    ) {
         isLoaded = true
-        apply(quarantine.reporters.filter { it !in rows }.associateWith { null } + rows)
+        if (isComplete) {
+            apply(quarantine.reporters.filter { it !in rows }.associateWith { null } + rows)
+        } else {
+            stored = CrashReport()
+            apply(rows.filterKeys { it !in quarantine.reporters && it != instance.value })
+        }
     }
 
     /** Applies the [changes] of some reports; null for one that was deleted or is unreadable. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SharedRows.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SharedRows.kt
@@ -63,7 +63,7 @@
         askedAt: ClockReading,
         gap: TableGap,
     ) {
-        crashes.replaceAll(crashReports(rows))
+        crashes.replaceAll(crashReports(rows), isComplete = gap != TableGap.RESTORE)
         limits.adopt(announcements(rows))
     }
 
