Keep an instance draining over a restore of the store

The copy may list an instance as ready that has drained since; it got requests again until its own row was back. After a restore it stays draining until its row changes, and missing instances stay for the grace period, as after an outage.

--- a/core/src/main/kotlin/io/teaselspring/core/registry/InstanceRegistry.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/registry/InstanceRegistry.kt
@@ -49,20 +49,28 @@
 
     /**
      * Replaces all rows by the snapshot [all] at [nowMs]. After an outage ([afterOutage]) missing instances stay for
-     * the grace period; otherwise they are removed at once.
+     * the grace period; otherwise they are removed at once. After a restore of the registry from an older copy
+     * ([afterRestore]) a draining instance stays so, until its own row changes.
      */
     public fun replace(
         all: Map<InstanceId, RegisteredInstance?>,
         afterOutage: Boolean,
         nowMs: Long,
+        afterRestore: Boolean = false,
     ): List<RegistryChange> {
-        val changes = all.mapNotNull { (id, instance) -> update(id, instance) }
+        val changes =
+            all
+                .filterNot { (id, instance) -> afterRestore && instancesById[id].isDrainingBefore(instance) }
+                .mapNotNull { (id, instance) -> update(id, instance) }
         val missing = instancesById.keys.filter { it !in all }
         if (!afterOutage) return changes + missing.filter { it !in missingSinceMs }.mapNotNull { update(it, null) }
         missing.forEach { missingSinceMs.putIfAbsent(it, nowMs) }
         return changes
     }
 
+    private fun RegisteredInstance?.isDrainingBefore(row: RegisteredInstance?) =
+        this != null && isDraining && row != null && !row.isDraining && row.startedAtMs == startedAtMs
+
     /** Removes the instances whose grace period has ended at [nowMs]. */
     public fun expire(nowMs: Long): List<RegistryChange> =
         missingSinceMs
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -252,7 +252,12 @@
                 ) {
                     val byId = rows.mapKeys { InstanceId(it.key) }
                     instances.apply(
-                        instances.registry.replace(byId, gap != TableGap.NONE, runtime.nowMs()),
+                        instances.registry.replace(
+                            byId,
+                            gap != TableGap.NONE,
+                            runtime.nowMs(),
+                            gap == TableGap.RESTORE,
+                        ),
                     )
                     instances.isLoaded = true
                 }
