Give up shares and announce stated limits again after a restore

A restore loses shares that are in use and brings back older announcements, so entries could hold more than a limit together for the time of a lease, or take an ended announcement for the newest. After a restore each entry gives up its share and claims again when the others have noticed too, an older announcement than one adopted before is ignored, and what an entry has learned itself is announced again. Found by reading; no test plays a restore under a stated limit yet.

--- a/core/src/main/kotlin/io/teaselspring/core/limit/InstanceLimit.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/limit/InstanceLimit.kt
@@ -91,6 +91,17 @@
         storeMs: Long,
     ): Unit = change(nowMs) { stated.adopt(announcement, nowMs, storeMs) }
 
+    /**
+     * The store has been restored from an older copy: the shares there are not those in use. Every holder gives its own
+     * up and waits until the others have noticed as well, which they do when they renew.
+     */
+    public fun storeRestored(nowMs: Long) {
+        refill(nowMs)
+        held = null
+        nextClaimMs = nowMs + policy.renewMs
+        stated.storeRestored()
+    }
+
     /** Whether [isClaimDue] and [announcementDue] are to be asked from time to time. */
     public val isActive: Boolean get() = perSecond != null || stated.isUnannounced
 
--- a/core/src/main/kotlin/io/teaselspring/core/limit/StatedLimit.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/limit/StatedLimit.kt
@@ -28,6 +28,7 @@
     /** When the entry last learned of the limit from a response of its own; null if it did not. */
     private var learnedAtMs: Long? = null
     private var announced: LimitAnnouncement? = null
+    private var adoptedAtStoreMs = Long.MIN_VALUE
 
     /**
      * Records the [headers] of a response that arrived at [nowMs] to a request sent at [sentAtMs]: none if the response
@@ -55,6 +56,9 @@
         nowMs: Long,
         storeMs: Long,
     ) {
+        // A store that was restored from an older copy may bring back an older announcement.
+        if (announcement.atMs < adoptedAtStoreMs) return
+        adoptedAtStoreMs = announcement.atMs
         announced = announcement
         val learnedAtStoreMs = learnedAtMs?.let { storeMs - (nowMs - it) }
         if (learnedAtStoreMs != null && learnedAtStoreMs > announcement.atMs) return
@@ -62,6 +66,11 @@
         if (announcement.perSecond != null) statedAtMs = nowMs
     }
 
+    /** The store may have lost the announcement, which is due again where this entry has learned of the limit. */
+    internal fun storeRestored() {
+        announced = null
+    }
+
     /** Whether the entry has learned something that was not announced yet. */
     internal val isUnannounced: Boolean get() = learnedAtMs != null && !isAbout(perSecond, announced?.perSecond)
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -143,6 +143,7 @@
     private fun onStoreRestored() {
         log.warn("event=store_restored generation={}", platform.storeGeneration.current)
         runtime.metrics.storeRestored()
+        limits.storeRestored()
     }
 
     private suspend fun reportUsage(intake: UsageIntake) {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestLimits.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestLimits.kt
@@ -97,6 +97,12 @@
         changed()
     }
 
+    /** The store has been restored from an older copy. */
+    fun storeRestored() {
+        limits.values.forEach { it.storeRestored(nowMs()) }
+        changed()
+    }
+
     /** A limit has changed, so that there may be something to claim or to announce. */
     fun changed() {
         changes.trySend(Unit)
