Give no epoch twice over several restores or a lost lease row

A holder skips 1,000 epochs when it follows a row from before a restore. A row from before two restores was followed by the same number as one from before the first, which somebody had acted under in between, and a row that the copy did not have at all by epoch 1, at once. Now 1,000 are skipped for each generation, an absent row is followed by the generation's own thousands, and where the store names generations a candidate waits the takeover time before it takes an absent row, since what it held is not known.

--- a/core/src/main/kotlin/io/teaselspring/core/lease/Lease.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/lease/Lease.kt
@@ -280,17 +280,21 @@
     ) = LeaseRow(own, epoch, nextWriteId(), now.storeMs, generation())
 
     /**
-     * The epoch after that of [row]. If the row is from before a restore, epochs may have been given out that nobody
-     * knows any more; they are skipped.
+     * The epoch after that of [row]. If the row is from before restores, epochs that nobody knows any more may have
+     * been given out in each of the generations since; they are skipped.
      */
     private fun nextEpoch(row: LeaseRow?): Long {
         val next = maxOf(row?.epoch ?: 0, highestEpoch) + 1
-        return if (isFromBeforeRestore(row)) next + EPOCHS_PER_GENERATION else next
+        val current = generation()
+        if (current == null || !isFromBeforeRestore(row)) return next
+        if (row == null) return maxOf(next, EPOCHS_PER_GENERATION * current + 1)
+        return next + EPOCHS_PER_GENERATION * (current - (row.generation ?: (current - 1)))
     }
 
+    /** Whether a restore may have undone a later row than [row]; of an absent row that is never known. */
     private fun isFromBeforeRestore(row: LeaseRow?): Boolean {
         val current = generation() ?: return false
-        return if (row == null) restoredAtMs != null else row.generation != current
+        return row == null || row.generation != current
     }
 
     /**
