Bear a late write from before a restore in the lease

A process that slept over restores wrote under the version that it had read. The version had been given out again, so the write replaced the row of the holder with one of an old generation and a lower epoch. Now the takeover time counts from when a candidate first sees the row, not from the restore, and each process keeps the highest epoch that it has seen.

LeaseTest plays 300 seeds of 180 s with delays, lost messages, pauses, outages and restores from copies up to 10 s old, versions given out again: no two processes send within an order's deadline and epochs never fall.

--- a/core/src/main/kotlin/io/teaselspring/core/lease/Lease.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/lease/Lease.kt
@@ -106,7 +106,8 @@
     private var nextReadMs = Long.MIN_VALUE
     private var nextWriteMs = Long.MIN_VALUE
     private var resignedAtMs: Long? = null
-    private var restoredAtMs: Long? = null
+
+    /** The highest epoch seen. A write from before a restore may come late and bring back a lower one. */
     private var highestEpoch = 0L
 
     /** Epoch of the last row observed, 0 if none. */
@@ -172,8 +173,6 @@
         actions: MutableList<LeaseAction>,
     ) {
         endTerm("store restored", actions)
-        highestEpoch = maxOf(highestEpoch, lastEpoch)
-        restoredAtMs = now.monotonicMs
         observed = null
         pending = null
         nextReadMs = now.monotonicMs
@@ -198,6 +197,7 @@
         actions: MutableList<LeaseAction>,
     ) {
         isOperationInFlight = false
+        highestEpoch = maxOf(highestEpoch, event.row?.epoch ?: 0)
         nextReadMs = now.monotonicMs + times.pollMs
         val write = pending
         pending = null
@@ -235,6 +235,7 @@
         actions: MutableList<LeaseAction>,
     ) {
         observed = ObservedRow(write.row, rowVersion, now.monotonicMs)
+        highestEpoch = maxOf(highestEpoch, write.row.epoch)
         if (write.row.holder == null || resignedAtMs != null) return
         val isNew = held?.epoch != write.row.epoch
         val untilMs = write.sentAtMs + times.durationMs - times.safetyMs
@@ -306,11 +307,11 @@
         now: ClockReading,
     ): Boolean {
         val holder = last.row?.holder
-        val hasWaited = now.monotonicMs - (restoredAtMs ?: last.atMs) >= times.takeoverMs
+        val hasWaited = now.monotonicMs - last.atMs >= times.takeoverMs
         return when {
             isFromBeforeRestore(last.row) -> hasWaited
             holder == null || holder == own -> true
-            else -> now.monotonicMs - last.atMs >= times.takeoverMs || isExpiredByStoreClock(last.row, now)
+            else -> hasWaited || isExpiredByStoreClock(last.row, now)
         }
     }
 
--- a/core/src/test/kotlin/io/teaselspring/core/lease/LeaseTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/lease/LeaseTest.kt
@@ -1,13 +1,16 @@
 package io.teaselspring.core.lease
 
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeInRange
+import io.kotest.matchers.longs.shouldBeGreaterThan
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
 import io.teaselspring.core.Incarnation
 import io.teaselspring.core.freshness.StoreClock
+import io.teaselspring.core.freshness.StoreGeneration
 import kotlin.random.Random
 
 /** A process in simulated time; its clocks run at [rate] times the true speed, and it may be paused. */
@@ -17,7 +20,8 @@
     val offsetMs: Long,
 ) {
     var serial = 0
-    val lease = Lease(Incarnation(name), LeaseTimes()) { "$name-${++serial}" }
+    val generation = StoreGeneration()
+    val lease = Lease(Incarnation(name), LeaseTimes(), { generation.current }) { "$name-${++serial}" }
     var pausedUntilMs = 0L
     var wallStepMs = 0L
 
@@ -42,36 +46,70 @@
     }
 }
 
+private const val MAX_COPY_AGE_MS = 10_000L
+
 private class Delivery(
     val atMs: Long,
     val run: (Long) -> Unit,
 )
 
+/** The row of the lease at [atMs], as a copy of the store holds it. */
+private class RowCopy(
+    val atMs: Long,
+    val row: LeaseRow?,
+    val rowVersion: Long,
+)
+
 /**
  * Several candidates for one row, with delays, lost messages, pauses and outages drawn from [random]. With [storeTime]
- * the store's responses carry its time.
+ * the store's responses carry its time; with [restores] it comes back now and then from a copy that is up to
+ * [MAX_COPY_AGE_MS] old.
  */
 private class LeaseRun(
     private val random: Random,
     private val storeTime: Boolean,
+    private val restores: Boolean = false,
 ) {
     val candidates = List(3) { Candidate("p$it", 0.98 + 0.02 * it, random.nextLong(1_000_000)) }
     private var row: LeaseRow? = null
     private var rowVersion = 0L
     private val deliveries = mutableListOf<Delivery>()
     private var outageUntilMs = 0L
+    private val copies = ArrayDeque<RowCopy>()
+    private var generation = 1L
+    private var nowMs = 0L
+
+    init {
+        candidates.forEach { it.generation.onRestored { it.lease.step(LeaseEvent.StoreRestored, it.reading(nowMs)) } }
+    }
+
+    /** Number of restores. */
+    val restored: Long get() = generation - 1
 
     /** (time, epoch, name) of each moment at which a process was allowed to send. */
     val sends = mutableListOf<Triple<Long, Long, String>>()
 
     fun run(untilMs: Long) {
-        for (nowMs in 0..untilMs step 50) {
+        for (stepMs in 0..untilMs step 50) {
+            nowMs = stepMs
+            if (restores) copyAndRestore()
             if (random.nextInt(4000) == 0) outageUntilMs = nowMs + random.nextLong(20_000)
             deliveries.filter { it.atMs <= nowMs }.also { deliveries.removeAll(it) }.forEach { it.run(nowMs) }
             candidates.filter { it.pausedUntilMs <= nowMs }.forEach { act(it, nowMs) }
         }
     }
 
+    private fun copyAndRestore() {
+        copies += RowCopy(nowMs, row, rowVersion)
+        while (copies.first().atMs < nowMs - MAX_COPY_AGE_MS) copies.removeFirst()
+        if (random.nextInt(600) != 0) return
+        val copy = copies.random(random)
+        row = copy.row
+        rowVersion = copy.rowVersion
+        generation += 1
+        copies.clear()
+    }
+
     private fun act(
         candidate: Candidate,
         nowMs: Long,
@@ -116,6 +154,7 @@
             Delivery(nowMs + random.nextLong(1, 1500)) { atMs ->
                 val result = if (isLostBefore || atMs < outageUntilMs) null else call()
                 val response = if (result == null || isLostAfter) LeaseEvent.WriteUnclear else result
+                val sentIn = generation
                 val observeTime = { arrivedAt: ClockReading ->
                     if (storeTime &&
                         response != LeaseEvent.WriteUnclear
@@ -123,23 +162,26 @@
                         candidate.storeClock.observe(atMs, sentAt, arrivedAt)
                     }
                 }
-                deliverResponse(candidate, response, observeTime, atMs + random.nextLong(1, 1500))
+                val isArriving = result != null && !isLostAfter
+                val receive = { if (isArriving && !candidate.generation.observe(sentIn)) null else response }
+                deliverResponse(candidate, receive, observeTime, atMs + random.nextLong(1, 1500))
             }
     }
 
     private fun deliverResponse(
         candidate: Candidate,
-        event: LeaseEvent,
+        receive: () -> LeaseEvent?,
         observeTime: (ClockReading) -> Unit,
         atMs: Long,
     ) {
         deliveries +=
             Delivery(atMs) { nowMs ->
                 if (candidate.pausedUntilMs > nowMs) {
-                    deliverResponse(candidate, event, observeTime, candidate.pausedUntilMs)
+                    deliverResponse(candidate, receive, observeTime, candidate.pausedUntilMs)
                 } else {
                     observeTime(candidate.reading(nowMs))
-                    step(candidate, event, nowMs)
+                    // A response of an earlier generation counts for nothing.
+                    step(candidate, receive() ?: LeaseEvent.WriteUnclear, nowMs)
                 }
             }
     }
@@ -166,6 +208,27 @@
             }
         }
 
+        test("over 300 seeds no two processes send within an order's deadline over restores") {
+            var takeovers = 0
+            var restored = 0L
+            repeat(300) { seed ->
+                val run = LeaseRun(Random(seed), storeTime = true, restores = true).apply { run(180_000) }
+                restored += run.restored
+                run.sends.zipWithNext().forEach { (before, after) ->
+                    withClue("seed $seed, $before and $after") {
+                        (after.second >= before.second) shouldBe true
+                        if (after.third != before.third) {
+                            takeovers += 1
+                            (after.second > before.second) shouldBe true
+                            after.first - before.first shouldBeGreaterThan LeaseTimes().orderDeadlineMs
+                        }
+                    }
+                }
+            }
+            takeovers shouldBeGreaterThan 300
+            restored shouldBeGreaterThan 300
+        }
+
         test("a row that has expired by the store's clock is replaced when it is first read") {
             val times = LeaseTimes()
             val row = LeaseRow(Incarnation("b"), 4, "w0", storeMs = 50_000)
