Ask all entries of the lost span before a window is reported again

The entries asked were those with a row of the window or the one before. Both rows of entry-0 were lost, so it was not missed. Its older rows were not: now all entries with a row within the time for which counts are kept (30 s) have to vouch for a window from before a restore, or a later process of their instance, which shows that they had ended before the window did.

What remains: an entry that started, reported a window and ended, all within the lost span, and is not replaced, is not known to anybody.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/DirectUsage.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/DirectUsage.kt
@@ -53,6 +53,9 @@
     var flushId = ""
 }
 
+/** Counts are kept for longer than a copy is old from which the store may be restored. */
+internal const val RETAINED_USAGE_MS = 30_000L
+
 /** Counts requests that started to run, and stores the counts as rows of [incarnation]. */
 internal class DirectUsage(
     private val incarnation: Incarnation,
@@ -111,7 +114,7 @@
         windows.getOrPut(current) { WindowCounts() }
         val open = windows.filter { (window, counts) -> !counts.isStored || (window < current && !counts.isFinal) }
         open.forEach { (window, counts) -> store(window, counts, isFinal = isStopping || window < current) }
-        val oldest = UsageWindow(current.startMs - maxOf(RETAINED_MS, 2 * lengthMs))
+        val oldest = UsageWindow(current.startMs - maxOf(RETAINED_USAGE_MS, 2 * lengthMs))
         windows.entries.removeIf { (window, counts) -> counts.isStored && window < oldest }
     }
 
@@ -174,9 +177,6 @@
         private const val MAX_LOSS_DIVISOR = 20
         private const val MAX_STORES_PER_WINDOW = 4
 
-        /** Counts are kept for longer than a copy is old from which the store may be restored. */
-        private const val RETAINED_MS = 30_000L
-
         /** How often each of [entries] entries stores its counts in a window. */
         fun storesPerWindow(entries: Int): Int =
             ceil(MAX_LOSS_DIVISOR.toDouble() / entries).toInt().coerceAtMost(MAX_STORES_PER_WINDOW)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UsageCompleteness.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UsageCompleteness.kt
@@ -7,6 +7,7 @@
 import arrow.core.Either
 import arrow.core.getOrElse
 import arrow.core.left
+import arrow.core.raise.either
 import arrow.core.right
 import io.teaselspring.core.Incarnation
 import io.teaselspring.core.usage.EntryUsageRow
@@ -45,24 +46,25 @@
     }
 
     /** Whether all counts of [window] are stored, or [allowedLateness] has passed since its end. */
-    suspend fun readiness(window: UsageWindow): Either<PlatformError, WindowReadiness> {
-        val expected = expectedEntries(window).getOrElse { return it.left() }
-        val rows = table.entryRows(window).getOrElse { return it.left() }
-        val isRestored = isFromBeforeRestore(window, expected.values + rows.values)
-        val missing =
-            if (isRestored) {
-                (expected.keys + rows.keys + own).filterNot { isStoredSinceRestore(rows[it]) }
-            } else {
-                (expected + rows).filter { (entry, last) -> !isFinished(entry, last, rows) }.keys
-            }
-        val nowMs = clock.now().toEpochMilliseconds()
-        val isPastLateness = nowMs - window.startMs - lengthMs >= allowedLateness.inWholeMilliseconds
-        if (missing.isNotEmpty() && !isPastLateness) return WindowReadiness.WAITING.right()
-        if (missing.isNotEmpty()) log.warn("event=usage_incomplete window={} missing={}", window.id, missing)
-        lastReported = window to withoutStopped(rows)
-        onEntriesCounted(withoutStopped(rows).keys.distinctBy { it.instance }.size)
-        return (if (isRestored && missing.isNotEmpty()) WindowReadiness.UNKNOWN else WindowReadiness.READY).right()
-    }
+    suspend fun readiness(window: UsageWindow): Either<PlatformError, WindowReadiness> =
+        either {
+            val expected = expectedEntries(window).bind()
+            val rows = table.entryRows(window).bind()
+            val isRestored = isFromBeforeRestore(window, expected.values + rows.values)
+            val missing =
+                if (isRestored) {
+                    (entriesBefore(window).bind() + expected.keys + rows.keys + own).filterNot { hasVouched(it, rows) }
+                } else {
+                    (expected + rows).filter { (entry, last) -> !isFinished(entry, last, rows) }.keys
+                }
+            val nowMs = clock.now().toEpochMilliseconds()
+            val isPastLateness = nowMs - window.startMs - lengthMs >= allowedLateness.inWholeMilliseconds
+            if (missing.isNotEmpty() && !isPastLateness) return@either WindowReadiness.WAITING
+            if (missing.isNotEmpty()) log.warn("event=usage_incomplete window={} missing={}", window.id, missing)
+            lastReported = window to withoutStopped(rows)
+            onEntriesCounted(withoutStopped(rows).keys.distinctBy { it.instance }.size)
+            if (isRestored && missing.isNotEmpty()) WindowReadiness.UNKNOWN else WindowReadiness.READY
+        }
 
     /**
      * Whether [window] began before the last restore, so that rows of it and the fact that it was reported may be lost.
@@ -76,9 +78,31 @@
         return restoredAtMs.let { it != null && window.startMs < it } || rows.any { it.generation != generation }
     }
 
-    /** An entry stores what it knows of reported windows before it stores its counts in a new generation. */
-    private fun isStoredSinceRestore(row: EntryUsageRow?) =
-        row != null && row.isFinal && row.generation == storeGeneration()
+    /** The entries that had rows in the windows before [window] whose rows a restore may have undone. */
+    private suspend fun entriesBefore(window: UsageWindow): Either<PlatformError, Set<Incarnation>> {
+        val found = HashSet<Incarnation>()
+        var startMs = window.startMs - lengthMs
+        while (startMs >= window.startMs - RETAINED_USAGE_MS) {
+            val rows = table.entryRows(UsageWindow(startMs)).getOrElse { return it.left() }
+            found += withoutStopped(rows).keys
+            startMs -= lengthMs
+        }
+        return found.right()
+    }
+
+    /**
+     * Whether [entry] has stored its counts of the window of [rows] since the restore, and before them what it knows of
+     * reported windows; or had ended before the window did, since a later process of its instance has.
+     */
+    private fun hasVouched(
+        entry: Incarnation,
+        rows: Map<Incarnation, EntryUsageRow>,
+    ): Boolean {
+        val generation = storeGeneration()
+        return rows.any { (other, row) ->
+            other.instance == entry.instance && row.isFinal && row.generation == generation
+        }
+    }
 
     /** Whether [entry] will store no more counts; its [last] row is of this window or the previous one. */
     private fun isFinished(
