Report windows that had not ended when the store was restored

A window for which not all entries vouched was left out also if it was in progress at the restore, or if only the window before had rows from before it. Neither can have been reported in the lost span. A process that has seen the restore now asks for vouchers only for windows that had ended by then; one that has started since goes by the rows' generation as before.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UsageCompleteness.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UsageCompleteness.kt
@@ -50,9 +50,9 @@
         either {
             val expected = expectedEntries(window).bind()
             val rows = table.entryRows(window).bind()
-            val isRestored = isFromBeforeRestore(window, expected.values + rows.values)
+            val mayBeReported = mayBeUndone(window, expected.values + rows.values)
             val missing =
-                if (isRestored) {
+                if (mayBeReported) {
                     (entriesBefore(window).bind() + expected.keys + rows.keys + own).filterNot { hasVouched(it, rows) }
                 } else {
                     (expected + rows).filter { (entry, last) -> !isFinished(entry, last, rows) }.keys
@@ -63,19 +63,20 @@
             if (missing.isNotEmpty()) log.warn("event=usage_incomplete window={} missing={}", window.id, missing)
             lastReported = window to withoutStopped(rows)
             onEntriesCounted(withoutStopped(rows).keys.distinctBy { it.instance }.size)
-            if (isRestored && missing.isNotEmpty()) WindowReadiness.UNKNOWN else WindowReadiness.READY
+            if (mayBeReported && missing.isNotEmpty()) WindowReadiness.UNKNOWN else WindowReadiness.READY
         }
 
     /**
-     * Whether [window] began before the last restore, so that rows of it and the fact that it was reported may be lost.
-     * A process that started since sees that from rows that were written in an earlier generation.
+     * Whether [window] ended before the last restore, so that its rows and the fact that it was reported may be lost. A
+     * process that started since sees that from [rows] of an earlier generation.
      */
-    private fun isFromBeforeRestore(
+    private fun mayBeUndone(
         window: UsageWindow,
         rows: List<EntryUsageRow>,
     ): Boolean {
         val generation = storeGeneration() ?: return false
-        return restoredAtMs.let { it != null && window.startMs < it } || rows.any { it.generation != generation }
+        restoredAtMs?.let { return window.startMs + lengthMs <= it }
+        return rows.any { it.generation != generation }
     }
 
     /** The entries that had rows in the windows before [window] whose rows a restore may have undone. */
