--- a/core/src/test/kotlin/io/teaselspring/core/limit/InstanceLimitTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/limit/InstanceLimitTest.kt
@@ -40,6 +40,8 @@
     private var version = 0L
     private var late = emptyList<Late>()
     private val sentMs = ArrayList<Long>()
+    private var generation = 0
+    private val seenGenerations = IntArray(entries)
     var nowMs = 0L
         private set
 
@@ -60,9 +62,28 @@
         return true
     }
 
-    private fun claim(limit: InstanceLimit) {
+    /** The row and its version as they are now, for [restore]. */
+    fun copy(): Pair<RateShares?, Long> = row to version
+
+    /** Brings back [copy]. Each entry notices with its next call, whose result it drops. */
+    fun restore(copy: Pair<RateShares?, Long>) {
+        row = copy.first
+        version = copy.second
+        generation += 1
+    }
+
+    private fun claim(
+        entry: Int,
+        limit: InstanceLimit,
+    ) {
         val fate = fate(nowMs)
         limit.claimStarted()
+        if (fate != WriteFate.REFUSED && seenGenerations[entry] != generation) {
+            seenGenerations[entry] = generation
+            limit.claimFailed(ClaimFailure.UNAVAILABLE, nowMs)
+            limit.storeRestored(nowMs)
+            return
+        }
         if (fate == WriteFate.REFUSED) return limit.claimFailed(ClaimFailure.UNAVAILABLE, nowMs)
         val ifVersion = version
         val claim = limit.claim(row, nowMs, nowMs) ?: return
@@ -89,7 +110,7 @@
             late = late.filter { it.atMs > nowMs }
             limits.forEachIndexed { entry, limit ->
                 if (hasDemand(entry, nowMs)) demand[entry].record(nowMs)
-                if (limit.isClaimDue(nowMs)) claim(limit)
+                if (limit.isClaimDue(nowMs)) claim(entry, limit)
                 if (hasDemand(entry, nowMs) && limit.hasPermit(nowMs)) {
                     limit.requestStarted(nowMs)
                     sentMs += nowMs
@@ -200,6 +221,42 @@
             fleet.limits.forEach { it.hasPermit(fleet.nowMs) shouldBe false }
         }
 
+        test("a restore of the store that loses the shares in use exceeds the limit by less than half") {
+            repeat(20) { seed ->
+                val random = Random(seed)
+                val perSecond = listOf(1.0, 5.0, 50.0).random(random)
+                val fleet = Fleet(entries = 2 + random.nextInt(20), random, perSecond)
+                repeat(3) {
+                    val copy = fleet.copy()
+                    fleet.run(fleet.nowMs + 1_000 + random.nextLong(9_000))
+                    fleet.restore(copy)
+                    fleet.run(fleet.nowMs + 5_000)
+                }
+                withClue("seed $seed, limit $perSecond") {
+                    fleet.mostInFourSeconds() shouldBeLessThanOrEqual (1.5 * 4 * perSecond + 5).toInt()
+                }
+            }
+        }
+
+        test("an announcement that a restored store brings back does not replace a later one") {
+            val limit = InstanceLimit("a", ArrivalRate(), { 1 }, { 2 })
+            limit.adopt(LimitAnnouncement(null, atMs = 1_000), nowMs = 10, storeMs = 1_010)
+            limit.adopt(LimitAnnouncement(2.0, atMs = 2_000), nowMs = 1_010, storeMs = 2_010)
+            limit.storeRestored(nowMs = 2_000)
+            limit.adopt(LimitAnnouncement(null, atMs = 1_000), nowMs = 2_010, storeMs = 3_010)
+            limit.perSecond shouldBe 2.0
+        }
+
+        test("a limit that the entry has learned itself is announced again after a restore") {
+            val limit = InstanceLimit("a", ArrivalRate(), { 1 }, { 2 })
+            limit.recordResponse(listOf("2"), sentAtMs = 0, nowMs = 10)
+            val announcement = checkNotNull(limit.announcementDue(nowMs = 20, storeMs = 1_020))
+            limit.adopt(announcement, nowMs = 30, storeMs = 1_030)
+            limit.announcementDue(nowMs = 2_000, storeMs = 3_000) shouldBe null
+            limit.storeRestored(nowMs = 2_000)
+            limit.announcementDue(nowMs = 2_010, storeMs = 3_010) shouldBe announcement
+        }
+
         test("a limit of 0 leaves one request in four seconds") {
             val fleet = Fleet(entries = 5, Random(1), perSecond = 0.0)
             fleet.run(60_000)
