Test windows over restores in virtual time

Guards against a second report with other counts, with all entries alive and with the first reporter gone, and against leaving out a window that was in progress at the restore.

--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/DirectUsageTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/DirectUsageTest.kt
@@ -37,23 +37,34 @@
 
     fun entry(name: String) = DirectUsage(Incarnation(name), table, clock, LENGTH_MS)
 
-    fun reporter(): UsageReporter {
-        val completeness =
-            UsageCompleteness(Incarnation("reporter"), table, clock, LENGTH_MS, allowedLateness = 7.seconds, {
-                counted +=
-                    it
-            })
-        return UsageReporter(
-            Incarnation("reporter"),
+    /** The generation of the store, null while it names none. */
+    var generation: Long? = null
+
+    /** Checks the windows for the reporter [name]. */
+    fun completeness(name: String) =
+        UsageCompleteness(
+            Incarnation(name),
             table,
-            platform.platform.usage,
             clock,
-            { 1 },
             LENGTH_MS,
-            grace = 600.milliseconds,
-            readiness = completeness::readiness,
+            allowedLateness = 7.seconds,
+            { counted += it },
+            { generation },
         )
-    }
+
+    fun reporter(
+        name: String = "reporter",
+        completeness: UsageCompleteness = completeness(name),
+    ) = UsageReporter(
+        Incarnation(name),
+        table,
+        platform.platform.usage,
+        clock,
+        { 1 },
+        LENGTH_MS,
+        grace = 600.milliseconds,
+        readiness = completeness::readiness,
+    )
 
     /** The reported requests of [hotel] by window start. */
     fun reported(): Map<Long, Long> =
@@ -258,4 +269,59 @@
             fleet.reporter().reportDue()
             fleet.reported() shouldBe mapOf(0L to 0L)
         }
+
+        // Guards against a second report with other counts by a holder that cannot know of the first one.
+        listOf(true, false).forEach { areAllAlive ->
+            test("a window whose report a restore has undone keeps its counts, all alive: $areAllAlive") {
+                val fleet = Fleet().also { it.generation = 1 }
+                val names = listOf("a/1", "b/1")
+                val entries = names.map { fleet.entry(it) }.onEach { it.storeAgain(1) }
+                entries.forEach { it.flush() }
+                val copy = fleet.platform.copy()
+                entries.forEach { it.recordRequests(3) }
+                fleet.nowMs = LENGTH_MS + 300
+                entries.forEach { it.flush() }
+                fleet.nowMs = LENGTH_MS + 700
+                val first = fleet.reporter("a/1")
+                first.reportDue()
+                fleet.reported() shouldBe mapOf(0L to 6L)
+
+                fleet.platform.restore(copy)
+                fleet.generation = 2
+                fleet.nowMs = LENGTH_MS + 2_000
+                val completeness = fleet.completeness("b/1").also { it.storeRestored() }
+                val second = fleet.reporter("b/1", completeness)
+                val alive = if (areAllAlive) entries else entries.drop(1)
+                if (areAllAlive) first.storeAgain()
+                alive.forEach { it.storeAgain(2) }
+                // The versions of before do not fit, so the first attempt reads the rows and the second writes them.
+                repeat(2) { alive.forEach { it.flush() } }
+                second.reportDue()
+                fleet.nowMs = LENGTH_MS + 7_000
+                second.reportDue()
+                fleet.platform.reports
+                    .map { it.figures }
+                    .distinct()
+                    .size shouldBe 1
+            }
+        }
+
+        test("a window that was in progress at a restore is reported, also without an entry that ended there") {
+            val fleet = Fleet().also { it.generation = 1 }
+            val first = fleet.entry("a/1").also { it.storeAgain(1) }
+            val ended = fleet.entry("b/1").also { it.storeAgain(1) }
+            val copy = fleet.platform.copy()
+            listOf(first, ended).forEach { it.recordRequests(3) }
+            listOf(first, ended).forEach { it.flush() }
+            fleet.platform.restore(copy)
+            fleet.generation = 2
+            fleet.nowMs = 2_000
+            val completeness = fleet.completeness("a/1").also { it.storeRestored() }
+            first.storeAgain(2)
+            fleet.nowMs = LENGTH_MS + 300
+            repeat(2) { first.flush() }
+            fleet.nowMs = LENGTH_MS + 7_000
+            fleet.reporter("a/1", completeness).reportDue()
+            fleet.reported() shouldBe mapOf(0L to 3L)
+        }
     })
