--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -1,6 +1,6 @@
 /*
- * Assembles an agentless entry: listeners, the watches on the store's tables, usage reporting, the graceful drain, and
- * the readiness, metrics and state pages.
+ * Assembles an agentless entry: listeners, the watches on the store's tables, usage, the graceful drain, and the
+ * readiness, metrics and state pages.
  */
 package io.teaselspring.daemon.gateway
 
@@ -11,16 +11,9 @@
 import io.teaselspring.core.registry.RegisteredInstance
 import io.teaselspring.core.routing.CallerLimits
 import io.teaselspring.core.routing.RoutingConfig
-import io.teaselspring.daemon.lease.LeaseKeeper
-import io.teaselspring.daemon.usage.USAGE_LEASE
-import io.teaselspring.daemon.usage.UsageReporter
-import io.teaselspring.daemon.usage.UsageTable
-import io.teaselspring.ports.UsageIntake
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.add
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
@@ -28,11 +21,9 @@
 import org.slf4j.LoggerFactory
 import java.io.ByteArrayOutputStream
 import kotlin.random.Random
-import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.TimeSource
 
 private val log = LoggerFactory.getLogger("io.teaselspring.daemon.gateway")
 
@@ -45,26 +36,12 @@
     private val scope: CoroutineScope,
 ) {
     private val incarnation = newIncarnation(settings.instance)
-    private val sharedClock = SharedClock(platform.table, { platform.storeClock.nowMs(runtime.clock()) })
-    private val entryCount = EntryCount(platform.table, settings.assumedEntries)
-    private val usageTable = UsageTable(platform.table)
-    private val usage = DirectUsage(incarnation, usageTable, sharedClock, times.usageWindow.inWholeMilliseconds)
-    private val usageLease =
-        LeaseKeeper(
-            USAGE_LEASE,
-            incarnation,
-            platform.table,
-            Clock.System,
-            TimeSource.Monotonic,
-            times.leaseTimes,
-            storeNowMs = { platform.storeClock.certainNowMs(runtime.clock()) },
-            storeGeneration = platform.storeGeneration::current,
-        )
+    private val usage = GatewayUsage(incarnation, runtime.clock, platform, times, settings.assumedEntries)
     private val limits =
         RequestLimits(
             settings.instance,
             platform.table,
-            entryCount::value,
+            usage::entryCount,
             runtime.nowMs,
             StoreTimes(
                 estimatedMs = { platform.storeClock.nowMs(runtime.clock()) },
@@ -80,7 +57,7 @@
             UpstreamInstances(runtime.connections, runtime.nowMs, limits),
             runtime.metrics,
             usage::recordRequest,
-            entryCount::value,
+            usage::entryCount,
             Random.Default::nextInt,
             InstanceMemory(scope, runtime.nowMs, platform.readMemory)::read,
             RequestQuarantine(
@@ -93,7 +70,6 @@
             ),
         )
     private var onConfigOutageEnded: () -> Unit = {}
-    private val storeUsageAgain = Channel<Unit>(Channel.CONFLATED)
     private val callers =
         CallerConnections(
             CallerConnectionContext(
@@ -137,7 +113,7 @@
         }
         scope.launch { limits.run() }
         scope.launch { housekeeping() }
-        if (platform.usage != null) scope.launch { reportUsage(platform.usage) }
+        if (platform.usage != null) scope.launch { usage.report(platform.usage) }
     }
 
     private fun onStoreRestored() {
@@ -146,59 +122,6 @@
         limits.storeRestored()
     }
 
-    private suspend fun reportUsage(intake: UsageIntake) {
-        sharedClock.establishOrigin()
-        val completeness =
-            UsageCompleteness(
-                incarnation,
-                usageTable,
-                sharedClock,
-                times.usageWindow.inWholeMilliseconds,
-                times.usagePatience,
-                entryCount::store,
-                platform.storeGeneration::current,
-            )
-        val reporter =
-            UsageReporter(
-                incarnation,
-                usageTable,
-                intake,
-                sharedClock,
-                usageLease::epochToSend,
-                times.usageWindow.inWholeMilliseconds,
-                times.usageGrace,
-                times.leaseTimes.orderDeadlineMs.milliseconds,
-                completeness::readiness,
-            )
-        usage.storeAgain(platform.storeGeneration.current)
-        platform.storeGeneration.onRestored {
-            usageLease.storeRestored()
-            completeness.storeRestored()
-            storeUsageAgain.trySend(Unit)
-        }
-        scope.launch { runUsageRecovery(reporter) }
-        scope.launch { entryCount.run() }
-        scope.launch { usage.run(entryCount::value) }
-        scope.launch { usageLease.run() }
-        scope.launch { reporter.run(times.usageInterval) }
-    }
-
-    /**
-     * After each restore of the store, stores again what the usage of recent windows depends on: the origin of the
-     * shared clock, what this entry knows of reported windows, and only then its counts, which vouch for the rest.
-     */
-    private suspend fun runUsageRecovery(reporter: UsageReporter): Nothing {
-        while (true) {
-            storeUsageAgain.receive()
-            do {
-                val generation = platform.storeGeneration.current
-                val isStored = sharedClock.storeAgain().isRight() && reporter.storeAgain().isRight()
-                if (!isStored) delay(FLUSH_RETRY_INTERVAL)
-            } while (!isStored || generation != platform.storeGeneration.current)
-            usage.storeAgain(platform.storeGeneration.current)
-        }
-    }
-
     private suspend fun housekeeping(): Nothing {
         while (true) {
             delay(HOUSEKEEPING_INTERVAL)
@@ -290,25 +213,15 @@
         val startedMs = runtime.nowMs()
         val drain = GracefulDrain(startedMs, times.stopLimit)
         gateway.drain = drain
-        val resignation = scope.launch { usageLease.resign() }
+        val resignation = scope.launch { usage.resign() }
         while (!drain.isComplete(runtime.nowMs(), callers.runningRequests)) delay(DRAIN_CHECK_INTERVAL)
         drain.refuseNewRequests()
         callers.stopListening()
-        if (platform.usage != null) flushFinalUsage(drain)
+        if (platform.usage != null) usage.storeFinalCounts(drain.remaining(runtime.nowMs()))
         resignation.cancel()
         log.info("event=drain_ended running={} after_ms={}", callers.runningRequests, runtime.nowMs() - startedMs)
     }
 
-    /** Retries to store the last counts until the time limit of the drain, because they are lost with the process. */
-    private suspend fun flushFinalUsage(drain: GracefulDrain) {
-        withTimeoutOrNull(maxOf(drain.remaining(runtime.nowMs()), MIN_FINAL_FLUSH_TIME)) {
-            while (!usage.storeFinalCounts()) delay(FLUSH_RETRY_INTERVAL)
-        }
-            ?: log.warn(
-                "event=usage_lost reason=\"final counts not stored within the drain's time limit; dropping them\"",
-            )
-    }
-
     private fun metricsPage(): Page {
         val text = ByteArrayOutputStream()
         PrometheusTextFormatWriter.create().write(text, gateway.metrics.registry.scrape())
@@ -325,7 +238,7 @@
                 put("store_generation", platform.storeGeneration.current)
                 put("config_version", config?.version)
                 put("config_age_ms", gateway.config.ageMs())
-                put("usage_lease_held", usageLease.epochToSend() != null)
+                put("usage_lease_held", usage.isLeaseHeld)
                 put("calls_running", callers.runningRequests)
                 put("calls_queued", gateway.queues.size + gateway.permits.size)
                 put("entries", gateway.entryCount())
@@ -353,7 +266,5 @@
         val HOUSEKEEPING_INTERVAL = 500.milliseconds
         val REGISTRY_WATCH_WAIT = 2.seconds
         val DRAIN_CHECK_INTERVAL = 50.milliseconds
-        val MIN_FINAL_FLUSH_TIME = 500.milliseconds
-        val FLUSH_RETRY_INTERVAL = 250.milliseconds
     }
 }
