--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
@@ -3,9 +3,6 @@
  */
 package io.teaselspring.daemon.gateway
 
-import arrow.core.Either
-import arrow.core.left
-import arrow.core.right
 import io.kotest.matchers.shouldBe
 import io.teaselspring.core.DataCentre
 import io.teaselspring.core.InstanceId
@@ -23,24 +20,12 @@
 import io.teaselspring.daemon.Running
 import io.teaselspring.daemon.control.FakePlatform
 import io.teaselspring.daemon.eventually
-import io.teaselspring.ports.PlatformError
-import io.teaselspring.ports.TableChanges
-import io.teaselspring.ports.TableContent
-import io.teaselspring.ports.TableStore
-import io.teaselspring.ports.TableWrite
-import io.teaselspring.ports.WatchedTable
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancel
-import kotlinx.coroutines.flow.MutableStateFlow
-import kotlinx.coroutines.flow.first
-import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
-import kotlinx.coroutines.withTimeoutOrNull
-import kotlinx.serialization.json.JsonElement
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.net.ServerSocket
@@ -59,118 +44,6 @@
 internal const val STREAM = "/stream/"
 internal const val RESUMED = "/resumed/"
 
-/** A watched table in memory. While [isHanging], calls do not return; while [isUnavailable], they fail at once. */
-class FakeWatchedTable<T> : WatchedTable<T> {
-    /** The rows with the version of their last change; the value of a deleted row is null. */
-    class State<T>(
-        val rows: Map<String, Pair<T?, Long>>,
-        val version: Long,
-    )
-
-    private val state = MutableStateFlow(State<T>(emptyMap(), 0))
-    var isHanging = false
-    var isUnavailable = false
-
-    /** Sets the row [key], or deletes it if [value] is null. */
-    fun set(
-        key: String,
-        value: T?,
-    ) {
-        state.update { State(it.rows + (key to (value to it.version + 1)), it.version + 1) }
-    }
-
-    /** The table as it is now. */
-    fun copy(): State<T> = state.value
-
-    /** Brings back the rows of [copy] and its version, then applies [changes], which get the next versions again. */
-    fun restore(
-        copy: State<T>,
-        changes: List<Pair<String, T?>> = emptyList(),
-    ) {
-        state.value =
-            changes.fold(copy) { old, (key, value) ->
-                State(old.rows + (key to (value to old.version + 1)), old.version + 1)
-            }
-    }
-
-    override suspend fun read(): Either<PlatformError, TableContent<T>> {
-        if (isHanging) awaitCancellation()
-        if (isUnavailable) return unavailable().left()
-        val now = state.value
-        return TableContent(
-            now.rows.filterValues { it.first != null }.mapValues { it.value.first },
-            now.version,
-        ).right()
-    }
-
-    override suspend fun changes(
-        after: Long,
-        wait: Duration,
-    ): Either<PlatformError, TableChanges<T>> {
-        withTimeoutOrNull(wait) { state.first { it.version != after } }
-        if (isHanging) awaitCancellation()
-        if (isUnavailable) return unavailable().left()
-        val now = state.value
-        if (now.version < after) return TableChanges.HistoryLost.right()
-        val changed = now.rows.filterValues { it.second > after }.mapValues { it.value.first }
-        return TableChanges.Changed(changed, now.version).right()
-    }
-
-    private fun unavailable() = PlatformError.Unavailable("read", "fake", "away")
-}
-
-/** The table of [platform] as one entry reaches it, which notes the store's clock and generation after each call. */
-private class ObservedTable(
-    private val platform: FakePlatform,
-    private val onResponse: (sentMs: Long) -> Unit,
-) : TableStore {
-    private val table = platform.platform.table
-
-    override suspend fun get(
-        table: String,
-        key: String,
-    ) = observed { it.get(table, key) }
-
-    override suspend fun put(
-        table: String,
-        key: String,
-        value: JsonElement,
-        ifVersion: Long,
-    ) = observed { it.put(table, key, value, ifVersion) }
-
-    override suspend fun scan(
-        table: String,
-        prefix: String,
-        after: String?,
-        limit: Int,
-    ) = observed { it.scan(table, prefix, after, limit) }
-
-    override suspend fun transaction(writes: List<TableWrite>) = observed { it.transaction(writes) }
-
-    private suspend fun <T> observed(call: suspend (TableStore) -> Either<PlatformError, T>): Either<PlatformError, T> {
-        val sentMs = System.nanoTime() / NANOS_PER_MS
-        return call(table).also { if (!platform.outage) onResponse(sentMs) }
-    }
-}
-
-/** [table] as one entry reaches it, which notes the store's clock and generation after each call. */
-private class ObservedWatchedTable<T>(
-    private val table: WatchedTable<T>,
-    private val onResponse: (sentMs: Long) -> Unit,
-) : WatchedTable<T> {
-    override suspend fun read() = observed { table.read() }
-
-    override suspend fun changes(
-        after: Long,
-        wait: Duration,
-    ) = observed { table.changes(after, wait) }
-
-    private suspend fun <R> observed(call: suspend () -> Either<PlatformError, R>): Either<PlatformError, R> {
-        val sentMs = System.nanoTime() / NANOS_PER_MS
-        return call().onRight { onResponse(sentMs) }
-    }
-}
-
 /** The entry with [upstreams] as its instances. [timeoutMs] is the timeout of all routes. */
 class GatewaySite(
     private val upstreams: List<ScriptedUpstream>,
