--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UsageCompleteness.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UsageCompleteness.kt
@@ -53,7 +53,8 @@
             val mayBeReported = mayBeUndone(window, expected.values + rows.values)
             val missing =
                 if (mayBeReported) {
-                    (entriesBefore(window).bind() + expected.keys + rows.keys + own).filterNot { hasVouched(it, rows) }
+                    val asked = entriesBefore(window).bind() + expected.keys + rows.keys + own
+                    asked.filterNot { hasStoredSinceRestore(it, rows) }
                 } else {
                     (expected + rows).filter { (entry, last) -> !isFinished(entry, last, rows) }.keys
                 }
@@ -95,7 +96,7 @@
      * Whether [entry] has stored its counts of the window of [rows] since the restore, and before them what it knows of
      * reported windows; or had ended before the window did, since a later process of its instance has.
      */
-    private fun hasVouched(
+    private fun hasStoredSinceRestore(
         entry: Incarnation,
         rows: Map<Incarnation, EntryUsageRow>,
     ): Boolean {
