Report windows beside entries of earlier versions of the program

Rows of an earlier version name no generation. A process that had seen no restore took them for rows from before one, so while old and new entries ran side by side no window would have been reported. Such rows say nothing about restores. DirectUsageTest: not reported before, reported now.

Also rewraps a comment that was a character too long.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayUsage.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayUsage.kt
@@ -102,7 +102,8 @@
 
     /**
      * After each restore of the store, stores again what the usage of recent windows depends on: the origin of the
-     * shared clock, what this entry knows of reported windows, and only then its counts, whose generation confirms the rest.
+     * shared clock, what this entry knows of reported windows, and only then its counts, whose generation confirms
+     * the rest.
      */
     private suspend fun storeAgainAfterRestores(reporter: UsageReporter): Nothing {
         while (true) {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UsageCompleteness.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UsageCompleteness.kt
@@ -77,7 +77,8 @@
     ): Boolean {
         val generation = storeGeneration() ?: return false
         restoredAtMs?.let { return window.startMs + lengthMs <= it }
-        return rows.any { it.generation != generation }
+        // Rows of earlier versions of the program name no generation.
+        return rows.any { it.generation != null && it.generation != generation }
     }
 
     /** The entries that had rows in the windows before [window] whose rows a restore may have undone. */
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/DirectUsageTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/DirectUsageTest.kt
@@ -324,4 +324,16 @@
             fleet.reporter("a/1", completeness).reportDue()
             fleet.reported() shouldBe mapOf(0L to 3L)
         }
+
+        test("rows of an earlier version, which name no generation, do not keep a window from being reported") {
+            val fleet = Fleet().also { it.generation = 5 }
+            val own = fleet.entry("a/1").also { it.storeAgain(5) }
+            val earlier = fleet.entry("b/1")
+            listOf(own, earlier).forEach { it.recordRequests(2) }
+            fleet.nowMs = LENGTH_MS + 300
+            listOf(own, earlier).forEach { it.flush() }
+            fleet.nowMs = LENGTH_MS + 700
+            fleet.reporter("a/1").reportDue()
+            fleet.reported() shouldBe mapOf(0L to 4L)
+        }
     })
