Bound the requests on an instance by its slots

Cause: the queue sent up to 60 requests to any instance.

Change: the bound is the instance's slots less their square root, the spread of what other entries send meanwhile. Slots come from the newest load report, else from the registry; a number that is not positive counts as unknown. The emulator's engine now preempts for slots as the platform's does, and two scenarios have the engines and load of that fleet.

Ruled out: a fixed fraction of the slots, which leaves 32 slots a margin of 2.

--- a/core/src/main/kotlin/io/teaselspring/core/placement/InstancePartition.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/InstancePartition.kt
@@ -37,7 +37,7 @@
         return if (request.group.isInteractive) {
             healthy
                 .filter { groupByInstance.getValue(it.id) > request.group.index && it.hasPermit }
-                .filter { it.load.requestsAt(nowMs) < policy.maxLoad }
+                .filter { it.load.requestsAt(nowMs) < it.usableSlots }
                 .filter {
                     it.fitsShareOf(policy.windowTokensOf(request.group), entries, it.uncachedElsewhere(request))
                 }.maxByOrNull { partitionWeight(it.id) }
--- a/core/src/main/kotlin/io/teaselspring/core/placement/InstancePool.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/InstancePool.kt
@@ -15,6 +15,9 @@
 
     /** Estimate of the pending prefill tokens of all entries on the instance. */
     val pendingTokens: Double get() = instance.pendingPrefillTokens + othersPendingTokens
+
+    /** Whether another request gets a slot without waiting and without preempting one, as far as known. */
+    val hasSlot: Boolean get() = requests < instance.usableSlots
 }
 
 /**
@@ -36,7 +39,7 @@
 
     /** Members that may have room for a request that spills over. Each dispatch only adds to what runs there. */
     val spillCandidates: List<PoolMember> by lazy {
-        members.filter { it.requests < policy.maxLoad && hasMemory(it, 0, policy.spillMemoryFraction) }
+        members.filter { it.hasSlot && hasMemory(it, 0, policy.spillMemoryFraction) }
     }
 
     /** The member that comes first in the rendezvous order of the shared part of [request]. */
@@ -54,7 +57,7 @@
         uncachedTokens: () -> Long,
     ): Boolean =
         member.instance.hasPermit &&
-            member.requests < policy.maxLoad &&
+            member.hasSlot &&
             hasMemory(member, request.promptTokens, memoryFraction) &&
             hasPrefillRoom(member, uncachedTokens())
 
--- a/core/src/main/kotlin/io/teaselspring/core/placement/KnownLoad.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/KnownLoad.kt
@@ -6,6 +6,7 @@
 package io.teaselspring.core.placement
 
 import kotlin.math.exp
+import kotlin.math.sqrt
 
 /** Load that an instance reports with a response: requests running and waiting, and its slots. */
 public data class ReportedLoad(
@@ -95,3 +96,11 @@
         return weight * load.otherRequests + (1 - weight) * decayedMean
     }
 }
+
+/**
+ * Requests of all entries that an instance may run before it counts as full. A full instance preempts running requests
+ * for more urgent ones, and the estimate of [OtherEntriesLoad] lags behind arrivals at the other entries, whose number
+ * varies by its square root. Infinite if the instance doesn't tell its slots.
+ */
+internal val InstanceView.usableSlots: Double
+    get() = slots?.takeIf { it > 0 }?.let { maxOf(1.0, it - sqrt(it.toDouble())) } ?: Double.POSITIVE_INFINITY
--- a/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
@@ -48,6 +48,9 @@
     /** What this entry knows of the requests on the instance. */
     public val load: KnownLoad
 
+    /** Requests that the instance runs at once, or null if unknown. */
+    public val slots: Int?
+
     /** Tokens that the instance can keep of running requests and cached parts, or null if unknown. */
     public val memoryTokens: Long?
 
@@ -92,14 +95,13 @@
  * A request spills over to another instance when it has waited for [spillAfterMs] and the other instance would prefill
  * its prompt in less than [spillTimeRatio] of the time that the preferred instance needs. It prefills the shared parts
  * again, so it spills over only to an instance whose requests then take at most [spillMemoryFraction] of its memory. An
- * instance with a load of [maxLoad] requests or more has no room.
+ * instance whose requests take its [usableSlots] has no room.
  */
 public data class QueuePolicy(
     val windowTokens: Long = 30_000,
     val interactiveWindowTokens: Long = 20_000,
     val spillAfterMs: Long = 500,
     val spillTimeRatio: Double = 0.3,
-    val maxLoad: Double = 60.0,
     val runningMemoryFraction: Double = 0.25,
     val spillMemoryFraction: Double = 0.075,
 )
--- a/core/src/test/kotlin/io/teaselspring/core/placement/RendezvousCacheTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/placement/RendezvousCacheTest.kt
@@ -10,6 +10,7 @@
             override val id = InstanceId("instance-$number")
             override val isEjected = false
             override val load = KnownLoad()
+            override val slots: Int? = null
             override val memoryTokens: Long? = null
             override val pendingPrefillTokens = 0L
 
--- a/core/src/test/kotlin/io/teaselspring/core/placement/RequestQueueTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/placement/RequestQueueTest.kt
@@ -18,6 +18,7 @@
     override var pendingPrefillTokens: Long = 0,
     override var isEjected: Boolean = false,
     override val memoryTokens: Long? = null,
+    override val slots: Int? = null,
 ) : InstanceView {
     override val id = InstanceId(name)
     override val load = KnownLoad()
@@ -185,11 +186,29 @@
             queue.size shouldBe 0
         }
 
-        test("an engine at its maximum load is sent no more requests") {
-            val all = listOf(TestEngine("engine-1").apply { load.record(ReportedLoad(60, 4, slots = 64), nowMs = 0) })
-            val queue = RequestQueue(smallWindows) { ENTRIES }
-            queue.add(queuedRequest("coast"))
-            queue.dispatchAll(0, all).first.shouldBeEmpty()
+        // An engine whose slots are taken preempts running requests for more urgent ones.
+        listOf(64, 48, 32, 6).forEach { slots ->
+            test("an engine whose $slots slots are nearly taken is sent no more requests, and one with room is") {
+                fun startedBeside(running: Int): Int {
+                    val engine = TestEngine("engine-1", slots = slots)
+                    engine.load.record(ReportedLoad(running, waiting = 0, slots), nowMs = 0)
+                    val queue = RequestQueue(smallWindows) { ENTRIES }
+                    queue.add(queuedRequest("coast"))
+                    return queue.dispatchAll(0, listOf(engine)).first.size
+                }
+                startedBeside(slots - 2) shouldBe 0
+                startedBeside(slots / 2) shouldBe 1
+            }
+        }
+
+        test("an engine that tells no usable number of slots is bounded by its prefill alone") {
+            listOf(null, 0, -3).forEach { slots ->
+                val engine = TestEngine("engine-1", slots = slots)
+                engine.load.record(ReportedLoad(running = 70, waiting = 0, slots = 64), nowMs = 0)
+                val queue = RequestQueue(smallWindows) { ENTRIES }
+                queue.add(queuedRequest("coast"))
+                queue.dispatchAll(0, listOf(engine)).first.size shouldBe 1
+            }
         }
 
         test("an engine is sent no request that would take memory from its prefix cache, unless it is idle") {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
@@ -123,6 +123,10 @@
     override val isEjected: Boolean = instance.isEjected(nowMs, STREAM_STALL_MS)
     override val hasPermit: Boolean get() = instance.limit.hasPermit(nowMs)
     override val load: KnownLoad get() = instance.load
+    override val slots: Int? get() =
+        instance.load.lastReport
+            ?.slots
+            ?.takeIf { it > 0 } ?: instance.registered.slots
     override val memoryTokens: Long? get() = instance.memoryTokens
     override val pendingPrefillTokens: Long get() = instance.pendingPrefillTokens
 
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptEngine.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptEngine.kt
@@ -1,7 +1,8 @@
 /*
  * Fake of the platform's model engine: one batch, prompts that are read in chunks between the tokens of the running
- * requests, a prefix cache in the memory that the running requests leave, priorities and preemption. A running request
- * keeps its shared parts from being evicted. An event of a stream holds several tokens. Requests end at their deadline.
+ * requests, a prefix cache in the memory that the running requests leave, priorities and preemption: a more urgent
+ * request takes the slot of a less urgent one, which is read in again later. A running request keeps its shared parts
+ * from being evicted. An event of a stream holds several tokens. Requests end at their deadline.
  */
 package io.teaselspring.experiment.prompts
 
@@ -87,6 +88,8 @@
     /** The load that it states in the head of a response. */
     val reportedLoad: ReportedLoad get() = ReportedLoad(running.size, waiting.size, figures.slots)
 
+    val slots: Int get() = figures.slots
+
     val memoryTokens: Long get() = figures.memoryTokens
 
     /** Loses all requests and the prefix cache. */
@@ -164,7 +167,7 @@
 
     private fun admit() {
         waiting.sortBy { it.request.priority }
-        while (running.size < figures.slots && waiting.isNotEmpty()) {
+        while (waiting.isNotEmpty() && hasSlotFor(waiting.first())) {
             val next = waiting.first()
             next.remainingPrefill = uncachedTokens(next)
             next.uncachedSharedTokens = next.remainingPrefill - next.ownTokens
@@ -176,12 +179,25 @@
             waiting.removeFirst()
         }
         // The running requests grow; the newest of the least urgent ones has to give way when nothing else can.
-        while (!makeRoom() && running.size > 1) {
-            val victim = running.withIndex().maxWith(compareBy({ it.value.request.priority }, { it.index })).value
-            running -= victim
-            waiting += victim
-            preempted += 1
-        }
+        while (!makeRoom() && running.size > 1) preempt(newestOfLeastUrgent())
+    }
+
+    /** Whether a slot is free for [next], or becomes free because a less urgent request is preempted. */
+    private fun hasSlotFor(next: Running): Boolean {
+        if (running.size < figures.slots) return true
+        val victim = newestOfLeastUrgent()
+        if (victim.request.priority <= next.request.priority) return false
+        preempt(victim)
+        return true
+    }
+
+    private fun newestOfLeastUrgent() =
+        running.withIndex().maxWith(compareBy({ it.value.request.priority }, { it.index })).value
+
+    private fun preempt(victim: Running) {
+        running -= victim
+        waiting += victim
+        preempted += 1
     }
 
     /** Tokens to read: a cached part counts only if all parts before it are cached. */
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptPolicy.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptPolicy.kt
@@ -35,6 +35,7 @@
     override val id: InstanceId get() = engine.id
     override val isEjected get() = !engine.isUp
     override var pendingPrefillTokens = 0L
+    override val slots: Int get() = engine.slots
     override val memoryTokens: Long get() = engine.memoryTokens
 
     override fun uncachedTokens(
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenarios.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenarios.kt
@@ -105,6 +105,72 @@
 private val carriageEngine = EngineFigures(memoryTokens = 647_156)
 private val associationEngine = EngineFigures(memoryTokens = 604_279)
 
+/** The co-operative's fleet: fast prefill, few slots, and most of its requests urgent and short. */
+private fun cooperative(
+    rates: Rates,
+    subjects: Int,
+    longEvents: Double,
+    chatEvents: Double,
+    labelEvents: Double,
+) = listOf(
+    PromptClass(
+        "sheet",
+        rates.long,
+        listOf(SharedPart(1, Size(512.0, 0.4, 1_280.0)), SharedPart(subjects, Size(4_870.0, 0.7, 14_600.0))),
+        ownTokens = Size(6_610.0, 1.4, 54_600.0),
+        events = Size(longEvents, 0.44, longEvents * 3),
+        targetMs = 1_200,
+        eventGapMs = 500,
+        deadlineMs = 12_000,
+        priority = 2,
+        worth = 1.7,
+        lateWorth = 0.52,
+    ),
+    PromptClass(
+        "chat",
+        rates.short,
+        listOf(SharedPart(80, Size(119.0, 0.4, 298.0)), SharedPart(subjects * 2, Size(79.4, 0.7, 238.0))),
+        ownTokens = Size(628.0, 1.0, 3_310.0),
+        events = Size(chatEvents, 0.69, chatEvents * 3.3),
+        targetMs = 200,
+        eventGapMs = 120,
+        deadlineMs = 10_000,
+        priority = 0,
+        worth = 4.0,
+        lateWorth = 0.36,
+    ),
+    PromptClass(
+        "label",
+        rates.middle,
+        listOf(SharedPart(16, Size(341.0, 0.4, 851.0)), SharedPart(subjects * 3, Size(227.0, 0.7, 681.0))),
+        ownTokens = Size(1_800.0, 1.3, 6_870.0),
+        events = Size(labelEvents, 1.4, labelEvents * 4),
+        targetMs = 250,
+        eventGapMs = 200,
+        deadlineMs = 2_500,
+        priority = 1,
+        worth = 0.69,
+        lateWorth = 0.2,
+    ),
+)
+
+private fun fastEngine(
+    memoryTokens: Long,
+    slots: Int,
+    tokensPerEvent: Int,
+) = EngineFigures(
+    memoryTokens,
+    slots,
+    queueLimit = slots * 2,
+    stepMs = 3.55,
+    stepMsPerRequest = 0.0462,
+    stepMsPerThousandTokens = 0.00115,
+    promptTokensPerMs = 157.0,
+    msPerMillionPairs = 0.109,
+    chunkTokens = 1_024,
+    tokensPerEvent,
+)
+
 /** All scenarios with the platform's engines. */
 val promptScenarios =
     listOf(
@@ -155,4 +221,46 @@
             faults = EngineFaults(listOf(Crash(count = 7, atMs = 9_500, forMs = 2_000))),
             callers = Callers(returnWhenRefused = true),
         ),
+        PromptScenario(
+            "prompts-burst-few-slots",
+            "8 engines of 48 slots, bursts of long prompts and of chats, a quarter of the engines crashes",
+            engines = 8,
+            fastEngine(memoryTokens = 928_084, slots = 48, tokensPerEvent = 6),
+            cooperative(
+                Rates(22.0, 41.0, 26.0),
+                subjects = 200,
+                longEvents = 64.0,
+                chatEvents = 49.0,
+                labelEvents = 4.0,
+            ),
+            listOf(
+                Burst("sheet", 2.3, fromMs = 500, forMs = 9_000),
+                Burst("chat", 2.0, fromMs = 11_000, forMs = 5_000),
+                Burst("sheet", 1.9, fromMs = 17_500, forMs = 4_500),
+            ),
+            entries = 4,
+            faults = EngineFaults(listOf(Crash(count = 2, atMs = 9_500, forMs = 2_000))),
+            callers = Callers(returnWhenRefused = true),
+        ),
+        PromptScenario(
+            "prompts-burst-few-slots-many-entries",
+            "31 engines of 32 slots behind 24 entries, bursts of long prompts and of chats, a quarter of the engines crashes",
+            engines = 31,
+            fastEngine(memoryTokens = 806_247, slots = 32, tokensPerEvent = 8),
+            cooperative(
+                Rates(99.0, 148.0, 77.6),
+                subjects = 472,
+                longEvents = 48.0,
+                chatEvents = 36.0,
+                labelEvents = 2.8,
+            ),
+            listOf(
+                Burst("sheet", 2.43, fromMs = 500, forMs = 9_000),
+                Burst("chat", 2.43, fromMs = 11_000, forMs = 5_000),
+                Burst("sheet", 2.3, fromMs = 17_500, forMs = 3_500),
+            ),
+            entries = 24,
+            faults = EngineFaults(listOf(Crash(count = 8, atMs = 9_500, forMs = 2_000))),
+            callers = Callers(returnWhenRefused = true),
+        ),
     )
