Keep memory for the shared parts in use, and give long prompts the room of mean ones

Cause: running prompts took at most a quarter of an instance's memory, whatever the shared parts need, and counted with shared parts that are in the cache already. All entries overflowed urgent requests to the same instance before it could report them.

Change: the memory beside the shared parts in use is for running prompts. A request counts as one of mean size at most. An instance that takes overflow counts this entry's requests there once for each entry.

--- a/core/src/main/kotlin/io/teaselspring/core/placement/InstancePartition.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/InstancePartition.kt
@@ -9,7 +9,8 @@
     groups: Int,
     private val policy: QueuePolicy,
     private val entries: Int,
-    private val meanTokens: Map<LatencyGroup, Double>,
+    private val meanSizes: Map<LatencyGroup, PromptSize>,
+    private val workingSets: Map<LatencyGroup, SharedWorkingSet>,
     private val averages: PendingAverages,
     private val hashes: RendezvousCache,
     private val nowMs: Long,
@@ -23,7 +24,17 @@
         pools.getOrPut(group) {
             val members = instancesFor(group, healthy, groupByInstance) { it.id }
             val preferred = hashes.preferredInstances(group, members)
-            InstancePool(members, preferred, group, policy, entries, meanTokens, averages, nowMs)
+            InstancePool(
+                members,
+                preferred,
+                group,
+                policy,
+                entries,
+                meanSizes[group],
+                workingSets[group]?.tokens(),
+                averages,
+                nowMs,
+            )
         }
 
     /**
@@ -37,7 +48,7 @@
         return if (request.group.isInteractive) {
             healthy
                 .filter { groupByInstance.getValue(it.id) > request.group.index && it.hasPermit }
-                .filter { it.load.requestsAt(nowMs) < it.usableSlots }
+                .filter { it.hasSlotBesideOverflow(entries, nowMs) }
                 .filter {
                     it.fitsShareOf(policy.windowTokensOf(request.group), entries, it.uncachedElsewhere(request))
                 }.maxByOrNull { partitionWeight(it.id) }
@@ -64,3 +75,12 @@
     private fun InstanceView.uncachedElsewhere(request: QueuedRequest) =
         uncachedTokens(request.parts, isPreferred = false)
 }
+
+/**
+ * Whether the instance has a slot for a request of another group, although the other entries overflow to it at the same
+ * time as this one and their requests are not in its report yet.
+ */
+private fun InstanceView.hasSlotBesideOverflow(
+    entries: Int,
+    nowMs: Long,
+) = maxOf(load.requestsAt(nowMs), load.ownRequests.toDouble() * entries) < usableSlots
--- a/core/src/main/kotlin/io/teaselspring/core/placement/InstancePool.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/InstancePool.kt
@@ -22,24 +22,27 @@
 
 /**
  * The [instances] of [group], which [entries] entries share. Each of the other entries is assumed to have as many
- * pending prefill tokens on these instances as this entry has on average. [meanTokens] are the mean tokens of a prompt.
+ * pending prefill tokens on these instances as this entry has on average. [meanSize] is that of the prompts of [group], and
+ * [workingSetTokens] are those of the parts that they share.
  */
 internal class InstancePool(
     instances: List<InstanceView>,
     private val preferredInstances: PreferredInstances,
-    private val group: LatencyGroup,
+    group: LatencyGroup,
     private val policy: QueuePolicy,
     private val entries: Int,
-    private val meanTokens: Map<LatencyGroup, Double>,
+    private val meanSize: PromptSize?,
+    workingSetTokens: Double?,
     averages: PendingAverages,
     nowMs: Long,
 ) {
+    private val cachedTokensPerInstance = workingSetTokens?.div(maxOf(1, instances.size))
     private val windowTokens = policy.windowTokensOf(group)
     val members: List<PoolMember> = poolMembers(instances, entries, averages, nowMs)
 
     /** Members that may have room for a request that spills over. Each dispatch only adds to what runs there. */
     val spillCandidates: List<PoolMember> by lazy {
-        members.filter { it.hasSlot && hasMemory(it, 0, policy.spillMemoryFraction) }
+        members.filter { it.hasSlot && hasMemory(it, 0.0, isSpill = true) }
     }
 
     /** The member that comes first in the rendezvous order of the shared part of [request]. */
@@ -47,19 +50,28 @@
         preferredInstances.positionFor(request.affinityPart)?.let { members[it] }
 
     /**
-     * Whether [member] has room for [request], with [uncachedTokens] to prefill, while running requests take at most
-     * [memoryFraction] of its memory.
+     * Whether [member] has room for [request], with [uncachedTokens] to prefill. A request that spills over leaves more
+     * of the memory to the prefix cache.
      */
     fun hasRoom(
         member: PoolMember,
         request: QueuedRequest,
-        memoryFraction: Double = policy.runningMemoryFraction,
+        isSpill: Boolean = false,
         uncachedTokens: () -> Long,
     ): Boolean =
         member.instance.hasPermit &&
             member.hasSlot &&
-            hasMemory(member, request.promptTokens, memoryFraction) &&
-            hasPrefillRoom(member, uncachedTokens())
+            hasMemory(member, countedTokens(request.size.unsharedTokens, meanSize?.unsharedTokens), isSpill) &&
+            hasPrefillRoom(member, countedTokens(uncachedTokens().toDouble(), meanSize?.promptTokens).toLong())
+
+    /**
+     * The tokens that decide on the room for a request with [tokens]: at most [meanTokens]. Otherwise short prompts take
+     * whatever room a full instance gets, and long ones wait until they are refused.
+     */
+    private fun countedTokens(
+        tokens: Double,
+        meanTokens: Double?,
+    ) = minOf(tokens, meanTokens ?: tokens)
 
     private fun hasPrefillRoom(
         member: PoolMember,
@@ -73,17 +85,30 @@
 
     private fun hasMemory(
         member: PoolMember,
-        promptTokens: Long,
-        memoryFraction: Double,
+        unsharedTokens: Double,
+        isSpill: Boolean,
     ): Boolean {
         val memoryTokens = member.instance.memoryTokens ?: return true
         // An idle instance accepts a request of any size.
         if (member.requests < 1) return true
-        val othersTokens = member.othersRequests * (meanTokens[group] ?: promptTokens.toDouble())
-        return member.instance.load.ownTokens + othersTokens + promptTokens <= memoryTokens * memoryFraction
+        val othersTokens = member.othersRequests * (meanSize?.unsharedTokens ?: unsharedTokens)
+        val mostTokens = runningTokens(memoryTokens) * (if (isSpill) policy.spillMemoryShare else 1.0)
+        return member.instance.load.unsharedTokens + othersTokens + unsharedTokens <= mostTokens
+    }
+
+    /** Tokens of [memoryTokens] that the prompts of running requests may take. */
+    private fun runningTokens(memoryTokens: Long): Double {
+        val cachedTokens = cachedTokensPerInstance ?: return memoryTokens * policy.runningMemoryFraction
+        val free = (memoryTokens - cachedTokens) * FREE_SHARE
+        return free.coerceIn(memoryTokens * MIN_RUNNING_FRACTION, memoryTokens * MAX_RUNNING_FRACTION)
     }
 
     private companion object {
+        /** Share of the memory beside the shared parts for the running prompts: their responses need the rest. */
+        const val FREE_SHARE = 0.6
+        const val MIN_RUNNING_FRACTION = 0.1
+        const val MAX_RUNNING_FRACTION = 0.8
+
         /** With less of its window pending, an instance accepts a prompt that is larger than the window. */
         const val IDLE_WINDOW_FRACTION = 0.02
     }
--- a/core/src/main/kotlin/io/teaselspring/core/placement/KnownLoad.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/KnownLoad.kt
@@ -21,8 +21,8 @@
     public var ownRequests: Int = 0
         private set
 
-    /** Prompt tokens of [ownRequests]. */
-    public var ownTokens: Long = 0
+    /** Prompt tokens of [ownRequests] that no other request shares. */
+    public var unsharedTokens: Long = 0
         private set
 
     /** The newest report that this entry has received. */
@@ -34,16 +34,16 @@
     internal var otherRequests = 0
         private set
 
-    /** Records that this entry has sent a request with [promptTokens]. */
-    public fun requestStarted(promptTokens: Long) {
+    /** Records that this entry has sent a request whose own part of the prompt has [unsharedTokens]. */
+    public fun requestStarted(unsharedTokens: Long) {
         ownRequests += 1
-        ownTokens += promptTokens
+        this.unsharedTokens += unsharedTokens
     }
 
-    /** Records that a request with [promptTokens] has ended. */
-    public fun requestEnded(promptTokens: Long) {
+    /** Records that a request with [unsharedTokens] has ended. */
+    public fun requestEnded(unsharedTokens: Long) {
         ownRequests -= 1
-        ownTokens -= promptTokens
+        this.unsharedTokens -= unsharedTokens
     }
 
     /** Records a [report] that arrived at [nowMs]. */
--- a/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
@@ -30,11 +30,13 @@
     val lateAfterMs: Long,
     val refuseAfterMs: Long,
 ) {
-    internal val promptTokens: Long = parts.sumOf { it.tokens }
+    /** Tokens of its own part, and of its whole prompt. */
+    internal val size = PromptSize(parts.lastOrNull()?.tokens ?: 0, parts.sumOf { it.tokens })
 
     /** The longest part of the prompt that other requests share, which decides on the preferred instance. */
-    internal val affinityPart: String =
-        (if (parts.size > 1) parts[parts.size - 2] else parts.firstOrNull())?.id.orEmpty()
+    internal val affinityPart: String = (sharedPart ?: parts.firstOrNull())?.id.orEmpty()
+
+    internal val sharedPart: PromptPart? get() = if (parts.size > 1) parts[parts.size - 2] else null
 }
 
 /** State of an instance that the queue reads. An ejected instance is used only while all are ejected. */
@@ -89,12 +91,15 @@
  *   the uncached tokens of the request, and this entry's within its share of them, unless it has none pending there.
  *   For all latency groups but the last, whose targets are shorter, [interactiveWindowTokens] applies. An instance with
  *   hardly any pending tokens has room for a prompt of any size.
- * - The prompts of all running and waiting requests of all entries, as far as known, take at most
- *   [runningMemoryFraction] of its memory. The rest keeps shared parts cached, and few running requests end soon.
+ * - The unshared parts of the prompts of all running and waiting requests of all entries, as far as known, leave the
+ *   memory that the shared parts in use need, or take at most [runningMemoryFraction] of it while those are unknown. So
+ *   shared parts stay cached.
+ *
+ * In both, a request larger than the mean counts as one of mean size.
  *
  * A request spills over to another instance when it has waited for [spillAfterMs] and the other instance would prefill
  * its prompt in less than [spillTimeRatio] of the time that the preferred instance needs. It prefills the shared parts
- * again, so it spills over only to an instance whose requests then take at most [spillMemoryFraction] of its memory. An
+ * again, so it spills over only to an instance whose requests then take at most [spillMemoryShare] of that memory. An
  * instance whose requests take its [usableSlots] has no room.
  */
 public data class QueuePolicy(
@@ -103,7 +108,7 @@
     val spillAfterMs: Long = 500,
     val spillTimeRatio: Double = 0.3,
     val runningMemoryFraction: Double = 0.25,
-    val spillMemoryFraction: Double = 0.075,
+    val spillMemoryShare: Double = 0.3,
 )
 
 /** The queue of one entry; [entries] returns the number of entries. Not thread-safe. */
@@ -115,16 +120,19 @@
     private val pendingAverages = PendingAverages()
     private val hashes = RendezvousCache()
 
-    /** Moving averages of the tokens of a prompt. */
-    private val meanTokens = HashMap<LatencyGroup, Double>()
+    private val meanSizes = HashMap<LatencyGroup, PromptSize>()
+
+    private val workingSets = HashMap<LatencyGroup, SharedWorkingSet>()
 
     /** Number of waiting requests. */
     public val size: Int get() = waiting.size
 
     public fun add(request: QueuedRequest) {
         waiting += request
-        val tokens = request.promptTokens.toDouble()
-        meanTokens.merge(request.group, tokens) { mean, _ -> mean + (tokens - mean) * MEAN_TOKENS_WEIGHT }
+        meanSizes.merge(request.group, request.size) { mean, size -> mean.movedTowards(size) }
+        request.sharedPart?.let {
+            workingSets.getOrPut(request.group) { SharedWorkingSet() }.record(it, request.arrivedMs)
+        }
     }
 
     /** Removes the request [id], whose caller has disconnected. */
@@ -145,7 +153,17 @@
     ): List<QueueDecision.Refuse> {
         if (pendingAverages.size > instances.size) pendingAverages.retain(instances.mapTo(HashSet()) { it.id })
         val partition =
-            InstancePartition(instances, groups, policy, entries(), meanTokens, pendingAverages, hashes, nowMs)
+            InstancePartition(
+                instances,
+                groups,
+                policy,
+                entries(),
+                meanSizes,
+                workingSets,
+                pendingAverages,
+                hashes,
+                nowMs,
+            )
         // Within a priority, requests that can still meet their latency target precede those that can't.
         waiting.sortWith(compareBy({ it.priority }, { nowMs >= it.lateAfterMs }, { it.arrivedMs }))
         val refused = mutableListOf<QueueDecision.Refuse>()
@@ -178,12 +196,8 @@
             .filter {
                 val uncached = it.instance.uncachedTokens(request.parts, isPreferred = false)
                 it.pendingTokens + uncached < maxTokens &&
-                    pool.hasRoom(it, request, policy.spillMemoryFraction) { uncached }
+                    pool.hasRoom(it, request, isSpill = true) { uncached }
             }.byAffinity(request)
             ?.instance
     }
-
-    private companion object {
-        const val MEAN_TOKENS_WEIGHT = 0.05
-    }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
+import io.teaselspring.core.placement.PromptPart
 import io.teaselspring.core.placement.ReportedLoad
 import io.teaselspring.core.routing.RouteKind
 import io.teaselspring.daemon.http.BodyFraming
@@ -41,18 +42,19 @@
 }
 
 /**
- * An attempt of [authorised] on [instance], which is expected to prefill [prefillTokens] of the [promptTokens]. Reports
- * its result to [execution].
+ * An attempt of [authorised] on [instance], which is expected to prefill [prefillTokens] of the [prompt]. Reports its
+ * result to [execution].
  */
 internal class InstanceAttempt(
     private val gateway: Gateway,
     private val execution: RequestExecution,
     private val authorised: AuthorisedRequest,
     private val instance: UpstreamInstance,
-    private val promptTokens: Long,
+    private val prompt: List<PromptPart>,
     private val prefillTokens: Long,
 ) : ExchangeListener {
     private val names = gateway.settings.headers
+    private val unsharedTokens = prompt.lastOrNull()?.tokens ?: 0
     private var startedMs = 0L
     private var method = HttpMethod.GET
     private var exchange: Exchange? = null
@@ -75,7 +77,7 @@
         val now = gateway.nowMs()
         startedMs = now
         method = request.method
-        instance.requestStarted(promptTokens, now)
+        instance.requestStarted(unsharedTokens, now)
         if (instance.limit.perSecond != null) gateway.metrics.limitedAttempt(authorised.upstream.value)
         instance.pendingPrefillTokens += prefillTokens
         val outgoing =
@@ -231,7 +233,7 @@
     }
 
     private fun recordBroken(reason: String) {
-        if (promptTokens > 0) {
+        if (prompt.isNotEmpty()) {
             val suspects = if (execution.stream.hasNewEvents) emptySet() else execution.sharedParts
             gateway.quarantine.attemptBrokeOff(instance.registered, suspects)
         }
@@ -267,7 +269,7 @@
         if (isFinished) return
         isFinished = true
         if (isPrefilling) finishPrefill()
-        instance.requestEnded(promptTokens)
+        instance.requestEnded(unsharedTokens)
     }
 
     private fun parseLoad(header: String?): ReportedLoad? {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -147,7 +147,7 @@
         gateway.logDispatch(requestId, authorised, instance, DispatchedPrompt(sharedParts, uncachedTokens), waitedMs)
         attempts.begin(instance.registered.id)
         attempt =
-            InstanceAttempt(gateway, this, authorised, instance, prompt.sumOf { it.tokens }, uncachedTokens).also {
+            InstanceAttempt(gateway, this, authorised, instance, prompt, uncachedTokens).also {
                 it.start(request, deadlineMs, stream.lastEventId)
             }
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -43,15 +43,15 @@
     }
 
     fun requestStarted(
-        promptTokens: Long,
+        unsharedTokens: Long,
         nowMs: Long,
     ) {
         if (load.ownRequests == 0) lastActivityMs = nowMs
-        load.requestStarted(promptTokens)
+        load.requestStarted(unsharedTokens)
         limit.requestStarted(nowMs)
     }
 
-    fun requestEnded(promptTokens: Long) = load.requestEnded(promptTokens)
+    fun requestEnded(unsharedTokens: Long) = load.requestEnded(unsharedTokens)
 
     fun recordActivity(nowMs: Long) {
         lastActivityMs = nowMs
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptLoad.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptLoad.kt
@@ -69,7 +69,25 @@
     val prompt: List<PromptPart>,
     val outputTokens: Int,
     val entry: Int,
-)
+) {
+    /**
+     * Weight of the request's worth: 0.3 plus 0.7 times its size against the mean of its class, at most 4. A generated
+     * token counts as ten of the prompt.
+     */
+    fun weight(tokensPerEvent: Int): Double {
+        val size = prompt.sumOf { it.tokens } + TOKEN_WEIGHT * outputTokens
+        val meanPrompt = profile.shared.sumOf { it.tokens.mean } + profile.ownTokens.mean
+        val meanSize = meanPrompt + TOKEN_WEIGHT * profile.events.mean * tokensPerEvent
+        return minOf(MOST_WEIGHT, BASE_WEIGHT + SIZE_WEIGHT * size / meanSize)
+    }
+
+    private companion object {
+        const val TOKEN_WEIGHT = 10
+        const val BASE_WEIGHT = 0.3
+        const val SIZE_WEIGHT = 0.7
+        const val MOST_WEIGHT = 4.0
+    }
+}
 
 /** The requests of [durationMs]; an event of a stream holds [tokensPerEvent]. */
 fun drawRequests(
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptPolicy.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptPolicy.kt
@@ -47,10 +47,10 @@
         uncachedTokens(parts, isPreferred = true).also { prefixCache.recordPrompt(parts) }
 
     fun requestStarted(
-        promptTokens: Long,
+        unsharedTokens: Long,
         uncachedTokens: Long,
     ) {
-        load.requestStarted(promptTokens)
+        load.requestStarted(unsharedTokens)
         pendingPrefillTokens += uncachedTokens
     }
 
@@ -60,7 +60,7 @@
         load.record(engine.reportedLoad, loop.nowMs)
     }
 
-    fun requestEnded(promptTokens: Long) = load.requestEnded(promptTokens)
+    fun requestEnded(unsharedTokens: Long) = load.requestEnded(unsharedTokens)
 }
 
 /** What an entry does with its requests: [send] passes one on, [refuse] gives it up. */
