Ignore rows that cannot be used, and go on after a listener has failed

Cause: a row of another writer could end the process, and again after each start: JSON nested some thousand levels deep runs the parser out of stack, a port over 65535 throws where the address is used, a crash report with a wrong token throws an exception that was not caught. Any error in a listener of a followed table ended its loop and with it the process.

Change: one function decodes text of other systems and returns null for malformed or too deep text. The follower logs the failure of a listener and goes on.

Ruled out: a limit of nesting depth before parsing, which would be a parser of our own.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SharedRows.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SharedRows.kt
@@ -9,9 +9,9 @@
 import io.teaselspring.core.limit.LimitAnnouncement
 import io.teaselspring.core.quarantine.CrashReport
 import io.teaselspring.ports.WatchedTable
+import io.teaselspring.ports.decodeOrNull
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -42,14 +42,12 @@
     key: String,
     text: String,
 ): SharedRow? =
-    try {
+    decodeOrNull {
         if (key.startsWith(LIMIT_KEY_PREFIX)) {
             SharedRow.Limit(rowJson.decodeFromString<LimitAnnouncement>(text))
         } else {
             SharedRow.Crashes(decodeCrashReport(text))
         }
-    } catch (_: SerializationException) {
-        null
     }
 
 /** Passes the rows of the table on to [crashes] and [limits]. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/TableFollower.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/TableFollower.kt
@@ -149,7 +149,7 @@
             is TableChanges.Changed -> {
                 recordRecovery()
                 version = maxOf(changes.version, version ?: 0)
-                listener.onChanges(changes.entries, askedAt)
+                notifyListener { listener.onChanges(changes.entries, askedAt) }
             }
         }
     }
@@ -182,7 +182,18 @@
         recordRecovery()
         version = snapshot.version
         isRestored = false
-        listener.onSnapshot(snapshot.entries, askedAt, gap)
+        notifyListener { listener.onSnapshot(snapshot.entries, askedAt, gap) }
+    }
+
+    /** An error in a listener must not end the follower: a new process would read the same rows and end again. */
+    private fun notifyListener(call: () -> Unit) {
+        try {
+            call()
+        } catch (e: Exception) {
+            log.error("event=listener_failed table={} error=\"{}\"", name, e.toString(), e)
+        } catch (e: StackOverflowError) {
+            log.error("event=listener_failed table={} error=\"{}\"", name, e.toString())
+        }
     }
 
     private fun recordFailure(error: PlatformError) {
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/TableFollowerTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/TableFollowerTest.kt
@@ -139,6 +139,40 @@
                 table.calls.size shouldBe 10
             }
         }
+
+        // Guards against one row that a listener cannot bear: an exception would end the process, and again after its start.
+        test("the follower goes on after a listener has thrown") {
+            runTest {
+                val table =
+                    ScriptedTable(
+                        mutableListOf(changed(7, "a" to "bad"), changed(9, "b" to "2")),
+                        whole(5, "a" to "bad"),
+                    )
+                val seen = mutableListOf<String>()
+                val listener =
+                    object : TableListener<String> {
+                        override fun onSnapshot(
+                            rows: Map<String, String?>,
+                            askedAt: ClockReading,
+                            gap: TableGap,
+                        ) = throw StackOverflowError()
+
+                        override fun onChanges(
+                            changes: Map<String, String?>,
+                            askedAt: ClockReading,
+                        ) {
+                            require("bad" !in changes.values)
+                            seen += changes.keys
+                        }
+                    }
+                val times = FollowTimes(wait = 2_000.milliseconds, Duration.ZERO)
+                val clock = { ClockReading(currentTime, currentTime) }
+                val running = backgroundScope.launch { TableFollower("t", table, times, clock, listener).run() }
+                testScheduler.advanceTimeBy(10_000)
+                running.cancel()
+                seen shouldContainExactly listOf("b")
+            }
+        }
     })
 
 private fun whole(
