Take no refusal or failure without the request's id, and keep no connection after a refusal

Cause: an error response without an echoed id counted as the response to the request now on the connection, and one with the same id of an earlier attempt as well. An instance that wrote an earlier refusal once more on a kept connection made the entry tell a caller 'not run' for a request that the instance ran, or send that request to a second instance (REFUSED, TWICE); a repeated failure reached another caller (MIXED).

Change: every response must echo the id, otherwise the attempt counts as one that may have run. A connection is closed after a refusal, so none that is reused has carried one.

Ruled out: accepting a response without an id on a new connection; instances echo the id in all responses, so one without it proves nothing.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -151,6 +151,8 @@
             if (name.toString().lowercase() !in HeaderNames.perConnection) headers.add(name, value)
         }
         buffered = BufferedResponse(response.status(), headers)
+        // A faulty instance may write a refusal once more, for a request that it runs.
+        if (isNotRun()) exchange?.closeAfterResponse()
         if (isSuccess() && authorised.route.kind == RouteKind.STREAM) {
             isStreaming = true
             execution.streamStarted(checkNotNull(buffered))
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
@@ -31,6 +31,7 @@
     private var skippedBytes = 0L
     private var failure: String? = null
     private var expiresAtMs = Long.MAX_VALUE
+    private var isLastExchange = false
 
     /** Sets [channel] here because channelActive runs only after the listeners of the connect future, which use it. */
     override fun handlerAdded(ctx: ChannelHandlerContext) {
@@ -76,6 +77,10 @@
         override fun fail(reason: String) {
             if (listener === exchangeListener) this@HttpConnection.fail(reason)
         }
+
+        override fun closeAfterResponse() {
+            if (listener === exchangeListener) isLastExchange = true
+        }
     }
 
     override fun channelRead(
@@ -108,6 +113,7 @@
         // A duplicate response to an earlier request may arrive in place of the response to this one.
         isSkipping = !sent.acceptsResponse(head)
         if (isSkipping) return skipHead()
+        if (!sent.isEchoedBy(head)) return fail("response without the request's id")
         response = head
         listener?.head(head)
     }
@@ -162,7 +168,7 @@
         val idleMs = head?.takeIf { HttpUtil.isKeepAlive(it) }?.idleTimeoutMs() ?: 0
         // The server may have responded before it read the whole request body, and would parse the rest as a request.
         val isWritten = writeFuture?.isSuccess == true
-        if (isWritten && idleMs > 0) {
+        if (isWritten && idleMs > 0 && !isLastExchange) {
             expiresAtMs = server.now() + idleMs
             server.release(this)
         } else {
@@ -191,6 +197,10 @@
         fail(failure ?: "connection closed")
     }
 
+    /** Whether [head] states the id of this request; true for a request without an id. */
+    private fun OutgoingRequest.isEchoedBy(head: HttpResponse) =
+        requestId == null || head.headers()[idHeader] == requestId
+
     private fun OutgoingRequest.acceptsResponse(head: HttpResponse): Boolean {
         val expected = requestId ?: return true
         val echoed = head.headers()[idHeader]
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
@@ -63,6 +63,9 @@
 
     /** Closes the connection and ends the exchange as broken, because the response cannot be accepted. */
     fun fail(reason: String)
+
+    /** Closes the connection after the response, so that no later exchange can get this response once more. */
+    fun closeAfterResponse()
 }
 
 /** Limit of a response body that is kept in memory as a whole; a faulty server may send without end. */
@@ -246,6 +249,10 @@
     override fun fail(reason: String) {
         started?.fail(reason)
     }
+
+    override fun closeAfterResponse() {
+        started?.closeAfterResponse()
+    }
 }
 
 internal fun Channel.writeRequest(request: OutgoingRequest): ChannelFuture {
