Refuse JSON that is nested too deeply on the path through agents and in operators' documents

Cause: a chat request, an event of an engine, a document of an operator or a row of the platform that is nested some thousand levels deep ran the recursive parser, or a function on its result, out of stack. Arrow passes that error on as fatal. An entry answered 500; a loop that read such a row or event ended the process.

Change: one function parses JSON of others, catches the error of the parser and bounds the nesting to 200 levels. Frames between entries and agents were sound already.

--- a/core/src/main/kotlin/io/teaselspring/core/config/DocumentReader.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/config/DocumentReader.kt
@@ -6,8 +6,8 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import io.teaselspring.core.decode.parseJsonOrNull
 import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 
@@ -22,13 +22,12 @@
 public fun parseDocument(
     file: String,
     text: String,
-): Either<ConfigProblem, NamedDocument> =
-    try {
-        when (val element = jsonWithComments.parseToJsonElement(text)) {
-            is JsonObject -> NamedDocument(file, element).right()
-            else -> ConfigProblem(file, "$", describe(element), "a JSON object").left()
-        }
-    } catch (e: SerializationException) {
-        val first = e.message?.lineSequence()?.firstOrNull() ?: "invalid JSON"
-        ConfigProblem(file, "$", first, "JSON with comments").left()
+): Either<ConfigProblem, NamedDocument> {
+    var cause: String? = "nested too deeply"
+    val element = parseJsonOrNull(text, jsonWithComments) { cause = it.message?.lineSequence()?.firstOrNull() }
+    return when (element) {
+        null -> ConfigProblem(file, "$", cause ?: "invalid JSON", "JSON with comments").left()
+        is JsonObject -> NamedDocument(file, element).right()
+        else -> ConfigProblem(file, "$", describe(element), "a JSON object").left()
     }
+}
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/TokenCount.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/TokenCount.kt
@@ -4,11 +4,9 @@
  */
 package io.teaselspring.daemon.agent
 
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
+import io.teaselspring.core.decode.parseJsonOrNull
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
-import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.longOrNull
 
 /** Counts the event with the JSON text [data]. Only an event that mentions usage is parsed, which is the last one. */
@@ -23,13 +21,6 @@
     completionTokens = maxOf(0, usage.longOrZero("completion_tokens") - submit.resumeOffset)
 }
 
-private fun parseUsage(data: String): JsonObject? =
-    try {
-        Json.parseToJsonElement(data).jsonObject["usage"] as? JsonObject
-    } catch (_: SerializationException) {
-        null
-    } catch (_: IllegalArgumentException) {
-        null
-    }
+private fun parseUsage(data: String): JsonObject? = (parseJsonOrNull(data) as? JsonObject)?.get("usage") as? JsonObject
 
 private fun JsonObject.longOrZero(field: String) = (this[field] as? JsonPrimitive)?.longOrNull ?: 0
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/entry/ChatCompletionBuilder.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/ChatCompletionBuilder.kt
@@ -3,7 +3,7 @@
  */
 package io.teaselspring.daemon.entry
 
-import kotlinx.serialization.json.Json
+import io.teaselspring.core.decode.parseJsonOrNull
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonNull
@@ -23,10 +23,13 @@
     /**
      * Adds one event.
      *
-     * @throws kotlinx.serialization.SerializationException or IllegalArgumentException if it is not a JSON object.
+     * @throws IllegalArgumentException if it is not a JSON object.
      */
     fun add(event: ByteArray) {
-        val chunk = Json.parseToJsonElement(event.decodeToString()).jsonObject
+        val chunk =
+            requireNotNull(
+                parseJsonOrNull(event.decodeToString()),
+            ) { "not JSON, or nested too deeply" }.jsonObject
         chunk.forEach { (name, value) -> if (name != "choices" && value != JsonNull) envelope[name] = value }
         (chunk["choices"] as? JsonArray)?.forEach { addChoice(it.jsonObject) }
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/entry/ChatRequest.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/ChatRequest.kt
@@ -8,8 +8,7 @@
 import arrow.core.left
 import arrow.core.right
 import io.teaselspring.core.ModelName
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
+import io.teaselspring.core.decode.parseJsonOrNull
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
@@ -52,15 +51,10 @@
 
 /** Parses the body of a chat completion request; returns a 400 refusal if it is invalid. */
 internal fun parseChatRequest(body: ByteArray): Either<Refusal, ChatRequest> {
-    val document =
-        try {
-            Json.parseToJsonElement(body.decodeToString()) as? JsonObject
-        } catch (_: SerializationException) {
-            null
-        }
+    val document = parseJsonOrNull(body.decodeToString()) as? JsonObject
     val model = document?.get("model").stringValue()
     return when {
-        document == null -> invalid("the body is not a JSON object")
+        document == null -> invalid("the body is not a JSON object, or nested too deeply")
         model.isNullOrEmpty() -> invalid("\"model\" must be a model's name")
         document["messages"] == null -> invalid("\"messages\" is missing")
         else ->
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SharedRows.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SharedRows.kt
@@ -4,12 +4,12 @@
  */
 package io.teaselspring.daemon.gateway
 
+import io.teaselspring.core.decode.decodeOrNull
 import io.teaselspring.core.freshness.StoreGeneration
 import io.teaselspring.core.lease.ClockReading
 import io.teaselspring.core.limit.LimitAnnouncement
 import io.teaselspring.core.quarantine.CrashReport
 import io.teaselspring.ports.WatchedTable
-import io.teaselspring.ports.decodeOrNull
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.Json
--- a/ports/src/main/kotlin/io/teaselspring/ports/HttpInterfaces.kt
+++ b/ports/src/main/kotlin/io/teaselspring/ports/HttpInterfaces.kt
@@ -213,4 +213,14 @@
     response: PlatformResponse,
     decode: (String) -> T,
 ): Either<PlatformError, T> =
-    Either.catch { decode(response.body.decodeToString()) }.mapLeft { calls.undecodableResponse(step, response, it) }
+    try {
+        Either
+            .catch {
+                decode(
+                    response.body.decodeToString(),
+                )
+            }.mapLeft { calls.undecodableResponse(step, response, it) }
+    } catch (e: StackOverflowError) {
+        // Either.catch passes errors of the virtual machine on, but this one is the fault of the response.
+        calls.undecodableResponse(step, response, e).left()
+    }
