--- a/daemon/src/test/kotlin/io/teaselspring/daemon/agent/UpstreamClientTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/agent/UpstreamClientTest.kt
@@ -10,6 +10,8 @@
 import io.teaselspring.daemon.gateway.streamHead
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.withContext
+import java.io.OutputStream
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration.Companion.seconds
 
@@ -52,4 +54,24 @@
                 }
             failing.use { isHealthy(it) shouldBe false }
         }
+
+        // A refusal that is written once more must not count for a request that the engine runs.
+        test("no two requests share a connection, so that a response which is written twice reaches no later request") {
+            val outputs = ConcurrentHashMap.newKeySet<OutputStream>()
+            val doubling =
+                ScriptedUpstream { request, output ->
+                    outputs += output
+                    output.respond(request)
+                    output.respond(request, "again", "503 Service Unavailable")
+                    ConnectionAction.KEEP
+                }
+            doubling.use { upstream ->
+                withContext(Dispatchers.IO) {
+                    UpstreamClient("http://${upstream.address}", 60.seconds, 1.seconds).use { client ->
+                        repeat(5) { client.isHealthy(2.seconds) shouldBe true }
+                    }
+                }
+                outputs.size shouldBe 5
+            }
+        }
     })
--- a/ports/src/test/kotlin/io/teaselspring/ports/HttpPlatformTest.kt
+++ b/ports/src/test/kotlin/io/teaselspring/ports/HttpPlatformTest.kt
@@ -28,6 +28,7 @@
 
 private const val MAX_SENT_BYTES = 40L * 1024 * 1024
 private const val CHUNK_BYTES = 0x10000
+private const val NESTING = 100_000
 
 private val shortBackoff = Backoff(1.milliseconds, 2.milliseconds)
 
@@ -146,6 +147,20 @@
             sentBytes shouldBeLessThan MAX_SENT_BYTES
         }
 
+        // Arrow passes the error of a parser that is out of stack on as fatal, which ends the process.
+        test("a response that is nested too deeply is an error of the call") {
+            withServer({ call.respondText("[".repeat(NESTING)) }) { platform ->
+                platform.table
+                    .get("t", "k")
+                    .leftOrNull()
+                    .shouldBeInstanceOf<PlatformError.Unavailable>()
+                platform.table
+                    .scan("t", "", null, 10)
+                    .leftOrNull()
+                    .shouldBeInstanceOf<PlatformError.Unavailable>()
+            }
+        }
+
         test("a write is unavailable after status 503, and ambiguous and sent once after status 500") {
             withServer({ call.respondText("", status = HttpStatusCode.ServiceUnavailable) }) { platform ->
                 platform.objects
