--- a/core/src/main/kotlin/io/teaselspring/core/placement/KnownLoad.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/KnownLoad.kt
@@ -83,10 +83,15 @@
     private val decayedMean: Double
 
     init {
-        val weights = instances.map { it.weightAt(nowMs) }
-        val total = weights.sum()
-        val newest = weights.maxOrNull() ?: 0.0
-        val weighted = instances.zip(weights) { instance, weight -> weight * instance.otherRequests }.sum()
+        var total = 0.0
+        var newest = 0.0
+        var weighted = 0.0
+        for (instance in instances) {
+            val weight = instance.weightAt(nowMs)
+            total += weight
+            newest = maxOf(newest, weight)
+            weighted += weight * instance.otherRequests
+        }
         decayedMean = if (total > 0) weighted / total * newest else 0.0
     }
 
--- a/core/src/main/kotlin/io/teaselspring/core/placement/PendingAverages.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/PendingAverages.kt
@@ -15,6 +15,9 @@
     )
 
     private val averages = HashMap<InstanceId, Average>()
+    private var lastAgeMs = 0L
+    private var lastEntries = 1
+    private var lastWeight = 1.0
 
     /** Number of instances with an average. */
     val size: Int get() = averages.size
@@ -35,12 +38,25 @@
         nowMs: Long,
     ): Double {
         val average = averages.getOrPut(id) { Average(0.0, nowMs) }
-        val weight = exp((average.updatedAtMs - nowMs) / (DECAY_MS_PER_ENTRY * entries))
+        val weight = weightOf(nowMs - average.updatedAtMs, entries)
         average.tokens = average.tokens * weight + pendingTokens * (1 - weight)
         average.updatedAtMs = nowMs
         return average.tokens
     }
 
+    /** Most instances were updated at the same time, so the last result is the next one as well. */
+    private fun weightOf(
+        ageMs: Long,
+        entries: Int,
+    ): Double {
+        if (ageMs != lastAgeMs || entries != lastEntries) {
+            lastAgeMs = ageMs
+            lastEntries = entries
+            lastWeight = exp(-ageMs / (DECAY_MS_PER_ENTRY * entries))
+        }
+        return lastWeight
+    }
+
     private companion object {
         /** The more entries, the fewer requests each has, and the longer it takes to see some of them. */
         const val DECAY_MS_PER_ENTRY = 30.0
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/Scale.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/Scale.kt
@@ -24,6 +24,7 @@
 import io.teaselspring.core.fairness.DemandReport
 import io.teaselspring.core.fairness.OrganisationLimit
 import io.teaselspring.core.fairness.OrganisationLimits
+import io.teaselspring.experiment.prompts.promptDispatchUs
 import io.teaselspring.protocol.Message
 import io.teaselspring.protocol.encode
 import kotlinx.serialization.json.Json
@@ -41,6 +42,7 @@
         Measurement("limit check", "us", "organisation", organisationCounts.map { it to limitUs(it, seed) }),
         Measurement("choice in the subset", "us", "engine", engineCounts.map { it to choiceUs(it, true, seed) }),
         Measurement("choice among all", "us", "engine", engineCounts.map { it to choiceUs(it, false, seed) }),
+        Measurement("dispatch of a prompt", "us", "engine", engineCounts.map { it to promptDispatchUs(it, seed) }),
         Measurement("limit state", "bytes", "organisation", organisationCounts.map { it to limitBytes(it) }),
         Measurement(
             "scheduler state",
