--- a/core/src/test/kotlin/io/teaselspring/core/placement/RequestQueueTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/placement/RequestQueueTest.kt
@@ -51,11 +51,12 @@
             arrivedMs: Long = 0,
             priority: Int = 2,
             group: LatencyGroup = LatencyGroup.ONLY,
+            ownTokens: Long = 3_700,
         ): QueuedRequest {
             val id = ++lastId
             return QueuedRequest(
                 id,
-                listOf(PromptPart(sharedPart, 13_300), PromptPart("own-$id", 3_700)),
+                listOf(PromptPart(sharedPart, 13_300), PromptPart("own-$id", ownTokens)),
                 group,
                 priority,
                 arrivedMs,
@@ -261,17 +262,7 @@
             val engine = TestEngine("engine-1", memoryTokens = 100_000)
             val queue = RequestQueue { ENTRIES }
             repeat(20) { queue.add(queuedRequest("coast")) }
-            queue.add(
-                QueuedRequest(
-                    ++lastId,
-                    listOf(PromptPart("coast", 13_300), PromptPart("absurd", 10_000_000)),
-                    LatencyGroup.ONLY,
-                    priority = 2,
-                    arrivedMs = 0,
-                    lateAfterMs = FIRST_TOKEN_TARGET_MS,
-                    refuseAfterMs = 2 * FIRST_TOKEN_TARGET_MS,
-                ),
-            )
+            queue.add(queuedRequest("coast", ownTokens = 10_000_000))
             repeat(21) { queue.remove(lastId - it) }
             engine.load.record(ReportedLoad(running = 2, waiting = 0, slots = 64), nowMs = 0)
             engine.load.requestStarted(unsharedTokens = 100)
@@ -287,16 +278,7 @@
             repeat(100) { queue.remove(lastId - it) }
             engine.cachedParts += "coast"
             engine.pendingPrefillTokens = 20_000
-            val long =
-                QueuedRequest(
-                    ++lastId,
-                    listOf(PromptPart("coast", 13_300), PromptPart("long", 50_000)),
-                    LatencyGroup.ONLY,
-                    2,
-                    0,
-                    FIRST_TOKEN_TARGET_MS,
-                    2 * FIRST_TOKEN_TARGET_MS,
-                )
+            val long = queuedRequest("coast", ownTokens = 50_000)
             queue.add(long)
             queue.dispatchAll(0, listOf(engine)).first.map { it.request.id } shouldContainExactly listOf(long.id)
         }
--- a/experiments/src/test/kotlin/io/teaselspring/experiment/prompts/BurstRecoveryTest.kt
+++ b/experiments/src/test/kotlin/io/teaselspring/experiment/prompts/BurstRecoveryTest.kt
@@ -8,20 +8,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.doubles.shouldBeGreaterThanOrEqual
 
-private val reports =
-    PromptClass(
-        "report",
-        perSecond = 40.0,
-        listOf(SharedPart(subjects = 240, Size(10_000.0, 0.5, 30_000.0))),
-        ownTokens = Size(3_000.0, 0.8, 20_000.0),
-        events = Size(25.0, 1.0, 80.0),
-        targetMs = 1_500,
-        eventGapMs = 1_000,
-        deadlineMs = 8_000,
-        priority = 1,
-        worth = 1.0,
-        lateWorth = 0.3,
-    )
+private val reports = reports(perSecond = 40.0, subjects = 240, meanEvents = 25.0)
 
 private val chats =
     PromptClass(
--- a/experiments/src/test/kotlin/io/teaselspring/experiment/prompts/CrashingPartTest.kt
+++ b/experiments/src/test/kotlin/io/teaselspring/experiment/prompts/CrashingPartTest.kt
@@ -25,20 +25,7 @@
         lateWorth = 0.1,
     )
 
-private val reports =
-    PromptClass(
-        "report",
-        perSecond = 15.0,
-        listOf(SharedPart(subjects = 100, Size(10_000.0, 0.5, 30_000.0))),
-        ownTokens = Size(3_000.0, 0.8, 20_000.0),
-        events = Size(24.0, 1.0, 80.0),
-        targetMs = 1_500,
-        eventGapMs = 1_000,
-        deadlineMs = 8_000,
-        priority = 1,
-        worth = 1.0,
-        lateWorth = 0.3,
-    )
+private val reports = reports(perSecond = 15.0, subjects = 100, meanEvents = 24.0)
 
 private const val FROM_MS = 15_000L
 private const val END_MS = 60_000L
