--- a/daemon/src/test/kotlin/io/teaselspring/daemon/control/FakePlatform.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/control/FakePlatform.kt
@@ -19,6 +19,7 @@
 import io.teaselspring.ports.UsageReport
 import kotlinx.serialization.json.JsonElement
 import java.util.TreeMap
+import java.util.concurrent.CopyOnWriteArrayList
 
 /**
  * The platform in memory. During an [outage] nothing is applied. The next [loseResponses] writes are applied but answer
@@ -27,8 +28,10 @@
 class FakePlatform {
     val rows = TreeMap<String, Row>()
     val objects = HashMap<String, ByteArray>()
-    val orders = mutableListOf<ScaleOrder>()
-    val reports = mutableListOf<UsageReport>()
+
+    // Tests read these while entries still write: each iteration sees the list as it was when it began.
+    val orders = CopyOnWriteArrayList<ScaleOrder>()
+    val reports = CopyOnWriteArrayList<UsageReport>()
     var listed = emptyList<ListedInstance>()
     var outage = false
     var loseResponses = 0
