--- a/review/standins/Entry.java
+++ b/review/standins/Entry.java
@@ -66,11 +66,14 @@
         all.put("cloud", Map.of("address", cloud, "rate_per_s", 50.0, "duties", List.of("usage_report"), "duty_per_s", 50.0));
         Files.writeString(settings, Json.text(all));
         List<String> command = new ArrayList<>(List.of(runCommand().split(" ")));
-        String home = System.getenv("JAVA_HOME");
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
         builder.environment().put("TEASELSPRING_NODE_FILE", settings.toString());
         File log = folder.resolve(name + ".log").toFile();
+        // Files are deleted in the opposite order, after the process has been ended.
+        folder.toFile().deleteOnExit();
+        settings.toFile().deleteOnExit();
+        log.deleteOnExit();
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log));
         process = builder.start();
         Process started = process;
