--- a/review/standins/CutLink.java
+++ b/review/standins/CutLink.java
@@ -6,6 +6,9 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.util.Arrays;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Predicate;
 
@@ -93,43 +96,72 @@
         }
     }
 
+    /** Bytes on their way, or the end of a channel, and when they arrive. */
+    private static final class Piece {
+        final byte[] bytes;
+        final double sentAt;
+        final double arrivesAt;
+
+        Piece(byte[] bytes, double sentAt, double arrivesAt) {
+            this.bytes = bytes;
+            this.sentAt = sentAt;
+            this.arrivesAt = arrivesAt;
+        }
+    }
+
     private void pass(Socket from, Socket to, AtomicBoolean isReset, boolean isOutward) throws Exception {
+        BlockingQueue<Piece> pieces = new LinkedBlockingQueue<>();
+        Http.thread(() -> deliver(pieces, to, isReset, isOutward));
         InputStream in = from.getInputStream();
-        OutputStream out = to.getOutputStream();
         byte[] buffer = new byte[65536];
         while (true) {
             int count;
             try {
                 count = in.read(buffer);
             } catch (SocketException e) {
+                // The sender has reset the channel: what it holds is lost, and during a cut so is the reset.
                 isReset.set(true);
+                if (!cut.isActive(record.now())) to.close();
                 from.close();
-                to.close();
                 return;
             }
             double sentAt = record.now();
             if (count > 0 && isOutward && beginsCut.test(new String(buffer, 0, count))) cut.begin(sentAt, cutSeconds);
-            if (cut.isActive(sentAt)) {
-                awaitRepeat(sentAt);
-                if (isReset.get()) return;
-                if (count > 0 && isOutward) record.line("link", "passes on after the cut what was sent at " + sentAt);
+            pieces.add(new Piece(count < 0 ? null : Arrays.copyOf(buffer, count), sentAt, arrival(sentAt)));
+            if (count < 0) return;
+        }
+    }
+
+    private void deliver(BlockingQueue<Piece> pieces, Socket to, AtomicBoolean isReset, boolean isOutward) throws Exception {
+        OutputStream out = to.getOutputStream();
+        while (true) {
+            Piece piece = pieces.take();
+            Thread.sleep(Math.max(0, Math.round((piece.arrivesAt - record.now()) * 1000)));
+            if (isReset.get()) {
+                if (piece.arrivesAt > piece.sentAt) record.line("link", "drops what a reset channel was to send");
+                to.close();
+                return;
             }
-            if (count < 0) {
+            if (piece.bytes == null) {
                 to.shutdownOutput();
                 return;
             }
-            out.write(buffer, 0, count);
+            if (isOutward && piece.arrivesAt > piece.sentAt) {
+                record.line("link", String.format("passes on after the cut what was sent at %.3f", piece.sentAt));
+            }
+            out.write(piece.bytes);
             out.flush();
         }
     }
 
-    private void awaitRepeat(double sentAt) throws InterruptedException {
+    /** When what is sent at [sentAt] arrives: at once, or with the first repeat after the cut. */
+    private double arrival(double sentAt) {
         double at = sentAt;
         double pause = FIRST_REPEAT_S;
         while (cut.isActive(at)) {
             at += pause;
             pause *= 2;
         }
-        Thread.sleep(Math.max(0, Math.round((at - record.now()) * 1000)));
+        return at;
     }
 }
