review: each script names its record, also where the case cannot run

Cause: the name of the record stood in a stand-in only, and a script that could not run left the record of an earlier run. The cases themselves are unchanged.

--- a/review/1/StaleReport.java
+++ b/review/1/StaleReport.java
@@ -12,9 +12,8 @@
 
     public static void main(String[] args) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Path folder = Path.of(args[0]);
         Path work = Files.createTempDirectory("review");
-        Record record = new Record(folder);
+        Record record = new Record(Path.of(args[0]));
         int code = 2;
         try {
             code = run(trouble, record, work) ? 1 : 0;
--- a/review/standins/Record.java
+++ b/review/standins/Record.java
@@ -4,14 +4,14 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 
-/** Writes what was sent, answered and run, one line per event with the seconds since the start, to record.txt. */
+/** Writes what was sent, answered and run, one line per event with the seconds since the start, to a case's record.txt. */
 final class Record implements AutoCloseable {
     private final long startNs = System.nanoTime();
     private final PrintWriter out;
 
-    Record(Path folder) {
+    Record(Path file) {
         try {
-            out = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")), true);
+            out = new PrintWriter(Files.newBufferedWriter(file), true);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
