Reset connections on close, so that a call that was given up does not arrive later

Cause: closing a connection leaves its unsent bytes to the kernel, which repeats them until they get through. A holder of lease/usage that was cut off gave its report up after 0.7 s and closed the connection; the report arrived 0.6 s after the link was back, behind those of its successor. The record of the case shows that link passing on what was sent before the call was given up. Ruled out: overlapping terms of the lease, a second send.

Change: the HTTP client opens its connections with SO_LINGER 0, so that every close is a reset, also that of a process that is killed.

Why this works: the kernel drops the send queue of a connection that is reset, and the lease's takeover time counts on just that.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
@@ -135,6 +135,9 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout.inWholeMilliseconds.toInt())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
+                // Resets the connection on close, also when the process ends, so that the kernel drops unsent bytes:
+                // a request that a cut link holds back must not arrive after it was given up.
+                .option(ChannelOption.SO_LINGER, 0)
                 // TCP keep-alive detects an unresponsive peer of an idle connection within about three seconds.
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), 1)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), 1)
