Check the permission to send when a request is written to a new connection

Cause: a call was written as soon as its connection was open. A process that is paused in between sees the open connection before the timer of the call, so it sent a usage report after the time limit and after the lease had ended.

Change: HttpCalls takes a function maySend and the client asks it directly before it writes to a new connection. Reports and orders pass the check of their epoch. Through agents the check comes before each attempt; there a second one came after a delay without it. Sending on a kept connection does not suspend after the check.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HttpCalls.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HttpCalls.kt
@@ -47,7 +47,10 @@
     private val connections: HttpConnections,
     private val recordOutcome: (call: String, outcome: String) -> Unit,
 ) {
-    /** Calls [uri] at [address], "IP:port"; gives up and closes the connection after [limit] without a response. */
+    /**
+     * Calls [uri] at [address], "IP:port"; gives up and closes the connection after [limit] without a response. The call
+     * is sent only if [maySend] returns true once its connection is open.
+     */
     suspend fun call(
         address: String,
         method: String,
@@ -55,9 +58,17 @@
         limit: Duration,
         body: ByteArray? = null,
         headers: Map<String, String> = emptyMap(),
+        maySend: () -> Boolean = { true },
     ): Either<HttpCallFailure, HttpCallResponse> {
+        val giveUpAtMs = connections.now() + limit.inWholeMilliseconds
         val request =
-            OutgoingRequest(HttpMethod.valueOf(method), uri, headersOf(address, headers, body), bufferOf(body))
+            OutgoingRequest(
+                HttpMethod.valueOf(method),
+                uri,
+                headersOf(address, headers, body),
+                bufferOf(body),
+                maySend = { connections.now() < giveUpAtMs && maySend() },
+            )
         val result =
             withTimeoutOrNull(limit) { exchange(address, request) }
                 ?: HttpCallFailure("no answer within $limit", mayHaveRun = true).left()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
@@ -71,7 +71,10 @@
 /** Limit of a response body that is kept in memory as a whole; a faulty server may send without end. */
 internal const val MAX_BUFFERED_BODY_BYTES = 8 * 1024 * 1024
 
-/** A request to send. If [requestId] is set, the server must echo it in the response header [idHeader]. */
+/**
+ * A request to send. If [requestId] is set, the server must echo it in the response header [idHeader]. On a new
+ * connection it is sent only if [maySend] returns true once that is open: a paused process may find it open long after.
+ */
 internal class OutgoingRequest(
     val method: HttpMethod,
     val uri: String,
@@ -79,6 +82,7 @@
     val body: ByteBuf = Unpooled.EMPTY_BUFFER,
     val requestId: String? = null,
     val idHeader: String? = null,
+    val maySend: () -> Boolean = { true },
 )
 
 /**
@@ -200,7 +204,7 @@
         val exchange = ConnectingExchange()
         connections.open(
             this,
-            onConnected = { exchange.onConnected(it) { it.start(request, listener) } },
+            onConnected = { exchange.onConnected(it, request, listener) },
             onFailed = { if (!exchange.isCancelled) listener.notSent(it?.message ?: "cancelled") },
         )
         return exchange
@@ -235,9 +239,17 @@
 
     fun onConnected(
         connection: HttpConnection,
-        start: () -> Exchange,
+        request: OutgoingRequest,
+        listener: ExchangeListener,
     ) {
-        if (isCancelled) connection.close() else started = start()
+        when {
+            isCancelled -> connection.close()
+            request.maySend() -> started = connection.start(request, listener)
+            else -> {
+                connection.close()
+                listener.notSent("no longer permitted to be sent")
+            }
+        }
     }
 
     override fun cancel() {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/orders/OrderLoop.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/orders/OrderLoop.kt
@@ -8,7 +8,7 @@
 import arrow.core.Either
 import arrow.core.flatMap
 import arrow.core.raise.either
-import arrow.core.raise.ensureNotNull
+import arrow.core.raise.ensure
 import arrow.core.right
 import io.teaselspring.core.DataCentre
 import io.teaselspring.core.Incarnation
@@ -165,16 +165,15 @@
                     order.count,
                     own.value,
                 )
-            // Nothing may suspend between this check of the epoch and the send.
-            val currentEpoch = epochToSend()
-            ensureNotNull(currentEpoch?.takeIf { it == order.epoch }) {
+            val mayOrder = { epochToSend() == order.epoch }
+            ensure(mayOrder()) {
                 PlatformError.Unavailable(
                     "order",
                     "ordering",
                     "not sent: the lease is no longer held in epoch ${order.epoch}",
                 )
             }
-            (withTimeoutOrNull(deadline) { ordering.send(body) } ?: Either.Left(timedOut)).bind()
+            (withTimeoutOrNull(deadline) { ordering.send(body, mayOrder) } ?: Either.Left(timedOut)).bind()
             log.info(
                 "event=order_sent data_centre={} upstream={} count={} number={} epoch={}",
                 site.dataCentre,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/usage/UsageReporter.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/usage/UsageReporter.kt
@@ -132,11 +132,14 @@
         either {
             val frozen = frozenFigures(window).bind()
             val body = reportBody(frozen.figures)
-            // Nothing may come between this check and the send.
             val epoch = ensureNotNull(epochToSend()) { notHeld() }
             val report = sent.getOrPut(window) { SentReport(frozen) }
             val late = PlatformError.Ambiguous("usage-report", "intake", "no answer within $deadline")
-            val result = withTimeoutOrNull(deadline) { intake.report(UsageReport(window.id, epoch, own.value, body)) }
+            val result =
+                withTimeoutOrNull(deadline) {
+                    // The process may be paused while the intake's connection opens, and the lease end meanwhile.
+                    intake.report(UsageReport(window.id, epoch, own.value, body)) { epochToSend() == epoch }
+                }
             (result ?: late.left()).bind()
             report.isConfirmed = true
             log.info("event=usage_reported window={} epoch={} lines={}", window.id, epoch, frozen.figures.size)
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/control/FakePlatform.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/control/FakePlatform.kt
@@ -104,10 +104,16 @@
             table,
             objectStore,
             object : OrderingInterface {
-                override suspend fun send(order: ScaleOrder) = writing { Unit.right().also { orders += order } }
+                override suspend fun send(
+                    order: ScaleOrder,
+                    maySend: () -> Boolean,
+                ) = writing { Unit.right().also { orders += order } }
             },
             object : UsageIntake {
-                override suspend fun report(report: UsageReport) = writing { Unit.right().also { reports += report } }
+                override suspend fun report(
+                    report: UsageReport,
+                    maySend: () -> Boolean,
+                ) = writing { Unit.right().also { reports += report } }
             },
             object : InstanceList {
                 override suspend fun instances() = reading { listed }
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/usage/UsageReporterTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/usage/UsageReporterTest.kt
@@ -89,7 +89,10 @@
 
     private val intake =
         object : UsageIntake {
-            override suspend fun report(report: UsageReport): Either<PlatformError, Unit> {
+            override suspend fun report(
+                report: UsageReport,
+                maySend: () -> Boolean,
+            ): Either<PlatformError, Unit> {
                 maybeKill()
                 platform.reports += report
                 maybeKill()
@@ -242,6 +245,34 @@
             }
         }
 
+        // The intake may be reached only after a pause of the process, and the lease may have ended by then.
+        test("nothing is sent under a lease that ends between the figures and the send") {
+            runTest {
+                val platform = FakePlatform()
+                val table = UsageTable(platform.platform.table)
+                AgentUsage(Incarnation("a"), table, clock(), LENGTH_MS).flush()
+                delay(200_000)
+                var epoch: Long? = 1
+                val sentUnder = mutableListOf<Long?>()
+                val intake =
+                    object : UsageIntake {
+                        override suspend fun report(
+                            report: UsageReport,
+                            maySend: () -> Boolean,
+                        ): Either<PlatformError, Unit> {
+                            if (maySend()) sentUnder += epoch
+                            for (later in listOf(null, 2L)) {
+                                epoch = later
+                                if (maySend()) sentUnder += later
+                            }
+                            return PlatformError.Unavailable("report", "fake", "not sent").left()
+                        }
+                    }
+                UsageReporter(Incarnation("l"), table, intake, clock(), { epoch }, LENGTH_MS).reportDue()
+                sentUnder shouldBe listOf(1L)
+            }
+        }
+
         test("nothing is reported without the lease or while the store is down") {
             runTest {
                 val platform = FakePlatform()
--- a/ports/src/main/kotlin/io/teaselspring/ports/HttpInterfaces.kt
+++ b/ports/src/main/kotlin/io/teaselspring/ports/HttpInterfaces.kt
@@ -149,18 +149,24 @@
 internal class HttpOrdering(
     private val calls: HttpCalls,
 ) : OrderingInterface {
-    override suspend fun send(order: ScaleOrder): Either<PlatformError, Unit> =
+    override suspend fun send(
+        order: ScaleOrder,
+        maySend: () -> Boolean,
+    ): Either<PlatformError, Unit> =
         calls
-            .write("order", HttpMethod.Post, "/orders") { jsonBody(json.encodeToString(order)) }
+            .write("order", HttpMethod.Post, "/orders", maySend) { jsonBody(json.encodeToString(order)) }
             .flatMap { requireSuccess(calls, "order", it) }
 }
 
 internal class HttpUsageIntake(
     private val calls: HttpCalls,
 ) : UsageIntake {
-    override suspend fun report(report: UsageReport): Either<PlatformError, Unit> =
+    override suspend fun report(
+        report: UsageReport,
+        maySend: () -> Boolean,
+    ): Either<PlatformError, Unit> =
         calls
-            .write("usage-report", HttpMethod.Post, "/usage-reports") { jsonBody(json.encodeToString(report)) }
+            .write("usage-report", HttpMethod.Post, "/usage-reports", maySend) { jsonBody(json.encodeToString(report)) }
             .flatMap { requireSuccess(calls, "usage-report", it) }
 }
 
--- a/ports/src/main/kotlin/io/teaselspring/ports/HttpPlatform.kt
+++ b/ports/src/main/kotlin/io/teaselspring/ports/HttpPlatform.kt
@@ -111,13 +111,18 @@
             attempt(step, HttpMethod.Get, path, configure).mapLeft { PlatformError.Unavailable(step, peer, it.detail) }
         }
 
-    /** Executes a write, which is retried only if it was certainly not applied. */
+    /**
+     * Executes a write, which is retried only if it was certainly not applied. Each attempt is sent only if [maySend]
+     * returns true after the wait for a free place among the calls in flight.
+     */
     suspend fun write(
         step: String,
         method: HttpMethod,
         path: String,
+        maySend: () -> Boolean = { true },
         configure: HttpRequestBuilder.() -> Unit,
-    ): Either<PlatformError, PlatformResponse> = retryWhileUnavailable { attempt(step, method, path, configure) }
+    ): Either<PlatformError, PlatformResponse> =
+        retryWhileUnavailable { attempt(step, method, path, configure, maySend) }
 
     fun conflict(
         step: String,
@@ -160,9 +165,11 @@
         method: HttpMethod,
         path: String,
         configure: HttpRequestBuilder.() -> Unit,
+        maySend: () -> Boolean = { true },
     ): Either<PlatformError, PlatformResponse> =
         inFlight
             .withPermit {
+                if (!maySend()) return PlatformError.Unavailable(step, peer, "not sent: no longer permitted").left()
                 Either.catch {
                     val statement =
                         client.prepareRequest {
--- a/ports/src/main/kotlin/io/teaselspring/ports/Platform.kt
+++ b/ports/src/main/kotlin/io/teaselspring/ports/Platform.kt
@@ -94,8 +94,14 @@
 
 /** The platform's interface for scale orders. Orders are idempotent because their counts are absolute. */
 public interface OrderingInterface {
-    /** Sends [order]. A receiver that checks epochs rejects one of an older epoch with [PlatformError.Conflict]. */
-    public suspend fun send(order: ScaleOrder): Either<PlatformError, Unit>
+    /**
+     * Sends [order] if [maySend] returns true directly before that. A receiver that checks epochs rejects one of an older
+     * epoch with [PlatformError.Conflict].
+     */
+    public suspend fun send(
+        order: ScaleOrder,
+        maySend: () -> Boolean = { true },
+    ): Either<PlatformError, Unit>
 }
 
 /** The usage report of one window; [epoch] is the fencing token of the lease of [holder]. */
@@ -109,8 +115,14 @@
 
 /** The platform's interface for usage reports. */
 public interface UsageIntake {
-    /** Sends [report]. A repeated report of a window must have the same figures. */
-    public suspend fun report(report: UsageReport): Either<PlatformError, Unit>
+    /**
+     * Sends [report] if [maySend] returns true directly before that, else fails with [PlatformError.Unavailable]. A
+     * repeated report of a window must have the same figures.
+     */
+    public suspend fun report(
+        report: UsageReport,
+        maySend: () -> Boolean = { true },
+    ): Either<PlatformError, Unit>
 }
 
 /** Whether an instance accepts requests. */
