Notice silent connections to the registry sooner, and tell an interruption from an outage

Cause: for an entry whose last response came just before the removal three times added up. It paused 1.4 s and then waited 2.8 s for a response; it tried again after 0.15 to 0.3 s, on an idle connection that was as silent; and as the failed call counted as an outage, the missing row was taken for a lapsed one and kept for 2 to 2.5 s. Ruled out: a removal that was read and not applied.

The first retry counts the time waited for the failed call. A call without a response closes the idle connections to its server. A row that is missing after less time than rows of live instances stay was deleted; the time is that between two responses by the store's clock. dependency_back states the kind of gap and the time without a response.

Tests of the modules up to platform pass.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
@@ -59,13 +59,15 @@
 
 /**
  * Times of an entry's control loops and its drain. The usage of a window is reported [usageGrace] after the end of the
- * window if all entries have stored their counts, and after [usagePatience] even if counts are missing.
+ * window if all entries have stored their counts, and after [usagePatience] even if counts are missing. An instance
+ * that lives but cannot reach the registry is listed for at least [instanceRowLifetime] more.
  */
 data class GatewayTimes(
     val usageWindow: Duration,
     val stopLimit: Duration,
     val configWait: Duration = 2.seconds,
     val registryInterval: Duration = 1_400.milliseconds,
+    val instanceRowLifetime: Duration = Duration.ZERO,
     val usageGrace: Duration = 600.milliseconds,
     val usagePatience: Duration = 7_500.milliseconds,
     val usageInterval: Duration = 1.seconds,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -6,9 +6,7 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
-import io.teaselspring.core.InstanceId
 import io.teaselspring.core.lease.ClockReading
-import io.teaselspring.core.registry.RegisteredInstance
 import io.teaselspring.core.routing.CallerLimits
 import io.teaselspring.core.routing.RoutingConfig
 import kotlinx.coroutines.CoroutineScope
@@ -23,7 +21,6 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 private val log = LoggerFactory.getLogger("io.teaselspring.daemon.gateway")
 
@@ -165,44 +162,17 @@
         gateway.config.recordConfirmation(askedAt, newest, isComplete)
     }
 
-    private fun registryFollower(): TableFollower<RegisteredInstance> {
-        val instances = gateway.instances
-        val listener =
-            object : TableListener<RegisteredInstance> {
-                override fun onSnapshot(
-                    rows: Map<String, RegisteredInstance?>,
-                    askedAt: ClockReading,
-                    gap: TableGap,
-                ) {
-                    val byId = rows.mapKeys { InstanceId(it.key) }
-                    instances.apply(
-                        instances.registry.replace(
-                            byId,
-                            gap != TableGap.NONE,
-                            runtime.nowMs(),
-                            gap == TableGap.RESTORE,
-                        ),
-                    )
-                    instances.isLoaded = true
-                }
-
-                override fun onChanges(
-                    changes: Map<String, RegisteredInstance?>,
-                    askedAt: ClockReading,
-                ) {
-                    instances.apply(changes.mapNotNull { (id, row) -> instances.registry.update(InstanceId(id), row) })
-                }
-            }
-        val followTimes = FollowTimes(wait = REGISTRY_WATCH_WAIT, interval = times.registryInterval)
-        return TableFollower(
-            "instances",
+    private fun registryFollower() =
+        instanceFollower(
             platform.instances,
-            followTimes,
+            times,
             runtime.clock,
-            listener,
+            RegistryListener(gateway.instances.registry, runtime.nowMs) {
+                gateway.instances.apply(it)
+                gateway.instances.isLoaded = true
+            },
             platform.storeGeneration,
         )
-    }
 
     /**
      * Drains the entry: reports not ready, resigns the usage lease, and returns when no request is in progress or the
@@ -264,7 +234,6 @@
 
     private companion object {
         val HOUSEKEEPING_INTERVAL = 500.milliseconds
-        val REGISTRY_WATCH_WAIT = 2.seconds
         val DRAIN_CHECK_INTERVAL = 50.milliseconds
     }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HttpCalls.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HttpCalls.kt
@@ -48,8 +48,8 @@
     private val recordOutcome: (call: String, outcome: String) -> Unit,
 ) {
     /**
-     * Calls [uri] at [address], "IP:port"; gives up and closes the connection after [limit] without a response. The call
-     * is sent only if [maySend] returns true once its connection is open.
+     * Calls [uri] at [address], "IP:port"; gives up and closes the connection after [limit] without a response. The
+     * call is sent only if [maySend] returns true once its connection is open.
      */
     suspend fun call(
         address: String,
@@ -71,7 +71,10 @@
             )
         val result =
             withTimeoutOrNull(limit) { exchange(address, request) }
-                ?: HttpCallFailure("no answer within $limit", mayHaveRun = true).left()
+                ?: HttpCallFailure("no answer within $limit", mayHaveRun = true)
+                    .left()
+                    // What has silenced one connection may have silenced the idle ones as well.
+                    .also { connections.server(address).closeIdle() }
         recordOutcome(uri.substringBefore('?').substringAfterLast('/'), outcomeOf(result))
         return result
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/TableFollower.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/TableFollower.kt
@@ -24,22 +24,28 @@
 private val log = LoggerFactory.getLogger("io.teaselspring.daemon.gateway")
 
 /**
- * Times of the long poll. A poll waits up to [wait] for a change; polls start at least [interval] apart, so that a
- * table that changes often costs a bounded number of calls. Errors are retried with exponential backoff and jitter:
- * after [initialRetryDelay] to twice that at first, later after up to [maxRetryDelay] to twice that.
+ * Times of the long poll. A response is due [wait] after the last one, also if no row changes; polls start at least
+ * [interval] apart, so that a table that changes often costs a bounded number of calls. Errors are retried with
+ * exponential backoff and jitter: after [initialRetryDelay] to twice that at first, counted from the call that failed,
+ * later after up to [maxRetryDelay] to twice that. A row whose writer lives stays in the table for at least
+ * [rowLifetime] while the table is unavailable.
  */
 internal data class FollowTimes(
     val wait: Duration,
     val interval: Duration,
     val initialRetryDelay: Duration = 150.milliseconds,
     val maxRetryDelay: Duration = 600.milliseconds,
+    val rowLifetime: Duration = Duration.ZERO,
 )
 
 /** What a follower may have missed before a snapshot. */
 internal enum class TableGap {
     NONE,
 
-    /** Changes while the table was unavailable. */
+    /** Calls failed, for less time than rows of live writers stay: a missing row was deleted. */
+    INTERRUPTION,
+
+    /** The table was unavailable: rows of live writers may be missing. */
     OUTAGE,
 
     /** The store was restored from an older copy: rows may be older than those known, or missing without a deletion. */
@@ -76,6 +82,8 @@
     private var restores = 0
     private var isRestored = false
     private var unavailableSinceMs: Long? = null
+    private var answeredAtMs: Long? = null
+    private var lastStoreMs: Long? = null
     private var failures = 0
     private var isReadingSnapshot = false
 
@@ -95,7 +103,9 @@
             val error = pollOnce()
             if (error != null) {
                 recordFailure(error)
-                delay(retryDelay())
+                // A call that got no response has been waited for already.
+                val waitedMs = if (failures == 1) clock().monotonicMs - startedMs else 0
+                delay(retryDelay() - waitedMs.milliseconds)
             } else {
                 delay(times.interval - (clock().monotonicMs - startedMs).milliseconds)
             }
@@ -128,7 +138,8 @@
         val after = version ?: return readSnapshot()
         val askedAt = clock()
         val restoresBefore = restores
-        return when (val result = table.changes(after, times.wait)) {
+        val sinceAnswer = (askedAt.monotonicMs - (answeredAtMs ?: askedAt.monotonicMs)).milliseconds
+        return when (val result = table.changes(after, maxOf(times.wait - sinceAnswer, Duration.ZERO))) {
             is Either.Left -> result.value
             is Either.Right -> {
                 if (restores == restoresBefore) applyChanges(result.value, askedAt)
@@ -147,7 +158,7 @@
                 version = null
             }
             is TableChanges.Changed -> {
-                recordRecovery()
+                recordAnswer(changes.storeMs, TableGap.NONE)
                 version = maxOf(changes.version, version ?: 0)
                 notifyListener { listener.onChanges(changes.entries, askedAt) }
             }
@@ -176,15 +187,22 @@
         val gap =
             when {
                 isRestored -> TableGap.RESTORE
-                unavailableSinceMs != null -> TableGap.OUTAGE
-                else -> TableGap.NONE
+                unavailableSinceMs == null -> TableGap.NONE
+                isWithinRowLifetime(snapshot.storeMs) -> TableGap.INTERRUPTION
+                else -> TableGap.OUTAGE
             }
-        recordRecovery()
+        recordAnswer(snapshot.storeMs, gap)
         version = snapshot.version
         isRestored = false
         notifyListener { listener.onSnapshot(snapshot.entries, askedAt, gap) }
     }
 
+    /** Whether the last response is so recent, by the store's clock, that all rows of live writers are still there. */
+    private fun isWithinRowLifetime(storeMs: Long?): Boolean {
+        val gapMs = (storeMs ?: return false) - (lastStoreMs ?: return false)
+        return gapMs in 0 until times.rowLifetime.inWholeMilliseconds
+    }
+
     /** An error in a listener must not end the follower: a new process would read the same rows and end again. */
     private fun notifyListener(call: () -> Unit) {
         try {
@@ -206,12 +224,24 @@
         version = null
     }
 
-    private fun recordRecovery() {
+    private fun recordAnswer(
+        storeMs: Long?,
+        gap: TableGap,
+    ) {
+        val nowMs = clock().monotonicMs
+        unavailableSinceMs?.let { since ->
+            log.info(
+                "event=dependency_back dependency=store table={} away_ms={} unanswered_ms={} gap={}",
+                name,
+                nowMs - since,
+                answeredAtMs?.let { nowMs - it },
+                gap.name.lowercase(),
+            )
+        }
         failures = 0
-        val since = unavailableSinceMs ?: return
         unavailableSinceMs = null
-        val unavailableMs = clock().monotonicMs - since
-        log.info("event=dependency_back dependency=store table={} away_ms={}", name, unavailableMs)
+        answeredAtMs = nowMs
+        lastStoreMs = storeMs
     }
 
     private companion object {
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/HttpCallsTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/HttpCallsTest.kt
@@ -4,9 +4,13 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.prometheus.metrics.model.snapshots.CounterSnapshot
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.withContext
 import java.net.InetAddress
 import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CountDownLatch
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -38,4 +42,29 @@
             counts shouldBe
                 mapOf(("get" to "status_503") to 2, ("feed" to "no_answer") to 1, ("usage" to "not_sent") to 1)
         }
+
+        // Open connections may go silent all at once while new ones work.
+        test("after a call without an answer the next one does not use a connection that is as old") {
+            val runtime = GatewayRuntime()
+            val silent = ConcurrentHashMap.newKeySet<Thread>()
+            val bothCalled = CountDownLatch(2)
+            val server =
+                ScriptedUpstream { request, output ->
+                    if (!silent.add(Thread.currentThread())) Thread.sleep(Long.MAX_VALUE)
+                    if ("/first" in request.line) {
+                        bothCalled.countDown()
+                        bothCalled.await()
+                    }
+                    output.respond(request)
+                    ConnectionAction.KEEP
+                }
+            server.use {
+                withContext(runtime.dispatcher) {
+                    val both = List(2) { async { runtime.calls.call(server.address, "GET", "/first", 5.seconds) } }
+                    both.awaitAll().forEach { it.isRight() shouldBe true }
+                    runtime.calls.call(server.address, "GET", "/second", 200.milliseconds).isLeft() shouldBe true
+                    runtime.calls.call(server.address, "GET", "/third", 2.seconds).isRight() shouldBe true
+                }
+            }
+        }
     })
--- a/ports/src/main/kotlin/io/teaselspring/ports/Platform.kt
+++ b/ports/src/main/kotlin/io/teaselspring/ports/Platform.kt
@@ -95,8 +95,8 @@
 /** The platform's interface for scale orders. Orders are idempotent because their counts are absolute. */
 public interface OrderingInterface {
     /**
-     * Sends [order] if [maySend] returns true directly before that. A receiver that checks epochs rejects one of an older
-     * epoch with [PlatformError.Conflict].
+     * Sends [order] if [maySend] returns true directly before that. A receiver that checks epochs rejects one of an
+     * older epoch with [PlatformError.Conflict].
      */
     public suspend fun send(
         order: ScaleOrder,
