Continue a stream only where it can go on, and only with its continuation

Cause: the next attempt was allowed by the route alone and its response accepted by status and signature alone.

Change: ForwardedStream tells whether what the caller has received can be continued, and whether the headers of a response continue it (events, no encoding). Any other response is a broken attempt.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
@@ -6,6 +6,8 @@
 package io.teaselspring.daemon.gateway
 
 import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
 import io.teaselspring.daemon.http.BodyFraming
 
 /** A stream that is forwarded to [writer], possibly from several instances in turn. */
@@ -52,13 +54,20 @@
             ResponseEnd(framing, events = null, isInsideEvent = null)
         }
 
+    /** Whether an attempt may send more of the stream: before its head, or after an event of a resumable stream. */
+    val canContinue: Boolean get() = !hasBegun || framer != null
+
+    /** Whether a successful response with [headers] may follow what the caller has received. */
+    fun isContinuedBy(headers: HttpHeaders): Boolean =
+        !hasBegun || (headers.statesEvents() && HttpHeaderNames.CONTENT_ENCODING !in headers)
+
     /** Sends the head of [response] to the caller. */
     fun begin(
         response: BufferedResponse,
         isResumable: Boolean,
     ) {
         hasBegun = true
-        isEventStream = response.headers["Content-Type"]?.startsWith(EVENT_STREAM, ignoreCase = true) ?: true
+        isEventStream = response.headers.statesEvents()
         if (isResumable && isEventStream) framer = EventFramer(boundaries)
         writer.writeHead(response.status, response.headers)
     }
@@ -89,6 +98,10 @@
         boundaries.dropPartial()
     }
 
+    /** Whether the body is a stream of events, which is also assumed without a type. */
+    private fun HttpHeaders.statesEvents() =
+        get(HttpHeaderNames.CONTENT_TYPE)?.startsWith(EVENT_STREAM, ignoreCase = true) ?: true
+
     private companion object {
         const val EVENT_STREAM = "text/event-stream"
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -154,6 +154,10 @@
         // A faulty instance may write a refusal once more, for a request that it runs.
         if (isNotRun()) exchange?.closeAfterResponse()
         if (isSuccess() && authorised.route.kind == RouteKind.STREAM) {
+            if (!execution.stream.isContinuedBy(headers)) {
+                exchange?.fail("response does not continue the stream")
+                return
+            }
             isStreaming = true
             execution.streamStarted(checkNotNull(buffered))
         }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -199,7 +199,11 @@
         // A request without an event may have crashed the instance, and its repeat may crash the next one.
         val mayCrash = !stream.hasNewEvents && gateway.quarantine.isSuspected(sharedParts)
         val canRetry =
-            !mayCrash && route.isRepeatable && attempts.counted < route.maxAttempts && gateway.nowMs() < deadlineMs
+            !mayCrash &&
+                route.isRepeatable &&
+                stream.canContinue &&
+                attempts.counted < route.maxAttempts &&
+                gateway.nowMs() < deadlineMs
         if (canRetry && acquireRetry()) {
             failure?.release()
             log("call_retried", reason)
