End a request when its response is written, and answer what is left at the end of a stop

Cause: a request counted as ended when its response was handed to the connection, and the process exited without ending the requests that were left.

Change: a connection is busy while its buffer is being read (UnsentResponse), for the stop and the idle timeout; a caller that reads nothing for 2 s does not hold the stop.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallerConnection.kt
@@ -51,7 +51,19 @@
     private var lastProgressMs = 0L
     private var hasReceivedRequest = false
 
-    val isBusy: Boolean get() = isResponding || requestHead != null
+    private val unsent = UnsentResponse()
+
+    /**
+     * Whether a request is being received or responded to. A response has ended when its last byte is written to the
+     * socket; a caller that reads nothing of it does not count.
+     */
+    fun isBusy(nowMs: Long): Boolean =
+        isResponding || requestHead != null || unsent.isRead(channel, nowMs, MAX_READING_PAUSE_MS)
+
+    /** Ends the request in progress with a response, because the process stops. */
+    fun endRequest() {
+        execution?.entryStopped()
+    }
 
     override fun channelActive(ctx: ChannelHandlerContext) {
         channel = ctx.channel()
@@ -83,7 +95,7 @@
     }
 
     fun isOverdue(nowMs: Long): Boolean {
-        if (isResponding) return false
+        if (isResponding || unsent.isRead(channel, nowMs, limits.idleTimeoutMs)) return false
         val isReceiving = requestHead != null || !hasReceivedRequest
         return nowMs - lastProgressMs > if (isReceiving) limits.headerTimeoutMs else limits.idleTimeoutMs
     }
@@ -217,6 +229,7 @@
 
     private fun finishResponse(last: HttpObject) {
         val written = channel.writeAndFlush(last)
+        written.addListener { lastProgressMs = context.nowMs() }
         execution = null
         isResponding = false
         lastProgressMs = context.nowMs()
@@ -243,6 +256,9 @@
     }
 
     private companion object {
+        /** A slow line moves some bytes at least this often; also the time for which a stop waits for a caller. */
+        const val MAX_READING_PAUSE_MS = 2_000L
+
         /** HTTP messages of later requests that are kept while a response is in progress. */
         const val MAX_PIPELINED_MESSAGES = 64
         const val MAX_BODY_COMPONENTS = 256
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallerConnections.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallerConnections.kt
@@ -32,7 +32,7 @@
     private var listener: Channel? = null
 
     /** Connections with a request that is being received or responded to. */
-    val runningRequests: Int get() = openConnections.count { it.isBusy }
+    val runningRequests: Int get() = context.nowMs().let { now -> openConnections.count { it.isBusy(now) } }
 
     fun listen(address: InetSocketAddress): Channel {
         val channel =
@@ -63,6 +63,9 @@
         openConnections.filter { it.isOverdue(now) }.forEach { it.close() }
     }
 
+    /** Ends all requests in progress with a response. */
+    fun endRequests() = openConnections.toList().forEach { it.endRequest() }
+
     fun stopListening() {
         listener?.close()
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -186,6 +186,7 @@
         val resignation = scope.launch { usage.resign() }
         while (!drain.isComplete(runtime.nowMs(), callers.runningRequests)) delay(DRAIN_CHECK_INTERVAL)
         drain.refuseNewRequests()
+        callers.endRequests()
         callers.stopListening()
         if (platform.usage != null) usage.storeFinalCounts(drain.remaining(runtime.nowMs()))
         resignation.cancel()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/IncomingRequest.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/IncomingRequest.kt
@@ -50,6 +50,9 @@
     /** The caller has closed the connection. */
     fun callerDisconnected()
 
+    /** The process ends before the request: it has to be responded to now. */
+    fun entryStopped()
+
     /** The caller's connection accepts more data again, or its write buffer is full (backpressure). */
     fun writabilityChanged(isWritable: Boolean)
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -116,6 +116,9 @@
         return headers
     }
 
+    /** Whether the request may have been sent and has no result yet. */
+    val isRunning: Boolean get() = !isFinished
+
     /** Cancels the attempt by closing the connection, which tells the instance to stop. */
     fun cancel() {
         if (isFinished) return
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -268,6 +268,13 @@
         respond(HttpResponseStatus.GATEWAY_TIMEOUT, "timeout")
     }
 
+    override fun entryStopped() {
+        if (isFinished) return
+        if (attempt?.isRunning == true) attempts.mayHaveRun = true
+        attempt?.cancel()
+        refuse("stopping")
+    }
+
     override fun callerDisconnected() {
         if (isFinished) return
         attempt?.cancel()
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
@@ -12,6 +12,7 @@
 import io.teaselspring.core.freshness.StoreGeneration
 import io.teaselspring.core.lease.ClockReading
 import io.teaselspring.core.registry.RegisteredInstance
+import io.teaselspring.core.routing.CallerLimits
 import io.teaselspring.core.routing.CallerOrganisation
 import io.teaselspring.core.routing.RequestRoute
 import io.teaselspring.core.routing.RouteKind
@@ -30,6 +31,7 @@
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
 
@@ -104,6 +106,7 @@
     fun configOf(
         version: Long,
         keys: Set<String> = setOf(SITE_KEY),
+        limits: CallerLimits = CallerLimits(),
     ) = RoutingConfig(
         version,
         listOf(
@@ -116,6 +119,7 @@
             CallerOrganisation(OrganisationId("hotel"), keys, 1),
             CallerOrganisation(OrganisationId("clinic"), setOf(URGENT_KEY), 0),
         ),
+        limits,
     )
 
     private fun route(
@@ -186,6 +190,13 @@
     /** Drains the entry gracefully. */
     suspend fun drain() = running.drain()
 
+    /** Ends the entry's event loop, which closes all connections as the end of its process does. */
+    suspend fun endProcess() {
+        // The kernel has what was written before the process ends.
+        withContext(loopDispatcher) { }
+        runtime.loop.shutdownGracefully(0, 0, TimeUnit.SECONDS).sync()
+    }
+
     /** Whether the readiness page responds 200. */
     fun isReady(): Boolean =
         Socket(ready.address, ready.port).use { socket ->
