Keep requests away from instances that say they are leaving or want a pause

What callers saw: nothing yet on our sites. The leaving header was ignored, and Retry-After was handed to the caller and forgotten.

Change: StatedAvailability holds what one process has said: open, paused until, leaving. All responses of the exchange count but a 421. Every choice of an instance asks it. Log lines and the state page name it.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -243,6 +243,13 @@
                                 put("upstream", instance.registered.upstream.value)
                                 put("address", instance.registered.address)
                                 put("draining", instance.registered.isDraining)
+                                put(
+                                    "availability",
+                                    instance.stated
+                                        .at(runtime.nowMs())
+                                        .name
+                                        .lowercase(),
+                                )
                                 put("own_calls", instance.load.ownRequests)
                                 put("pending_prefill_tokens", instance.pendingPrefillTokens)
                                 put("requests_per_second_limit", instance.limit.perSecond)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HeaderNames.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HeaderNames.kt
@@ -21,6 +21,7 @@
     val notRun: String = "X-Not-Run",
     val load: String = "X-Load",
     val requestLimit: String = "X-Request-Limit",
+    val leaving: String = "X-Leaving",
     val systemOnly: Set<String> = emptySet(),
 ) {
     /** Lower-case names that are not copied from a caller's request to an upstream. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/IncomingRequest.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/IncomingRequest.kt
@@ -41,7 +41,9 @@
     /** Completes a streamed response. */
     fun end()
 
-    /** Sends a whole response; takes ownership of [body]. Calls [onWritten] once it is written or its caller is gone. */
+    /**
+     * Sends a whole response; takes ownership of [body]. Calls [onWritten] once it is written or its caller is gone.
+     */
     fun respond(
         status: HttpResponseStatus,
         headers: HttpHeaders,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -6,6 +6,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
@@ -144,7 +145,7 @@
         finish()
         gateway.metrics.attempt(authorised.upstream.value, "not_sent")
         instance.recordFailure(gateway.nowMs(), reason)
-        execution.attemptNotRun(reason, sent = false, retryAfter = null)
+        execution.attemptNotRun(reason, sent = false)
     }
 
     override fun head(response: HttpResponse) {
@@ -155,6 +156,10 @@
         if (response.status() != HttpResponseStatus.MISDIRECTED_REQUEST) {
             val isChanged = instance.recordLimit(response.headers().getAll(names.requestLimit), startedMs, now)
             if (isChanged) gateway.limits.changed()
+            if (names.leaving in response.headers()) instance.recordLeaving()
+            if (response.status() == HttpResponseStatus.SERVICE_UNAVAILABLE) {
+                instance.recordPause(response.headers().getAll(HttpHeaderNames.RETRY_AFTER), now)
+            }
         }
         framing = response.bodyFraming(method)
         val headers = uncheckedHeaders.newHeaders()
@@ -207,7 +212,7 @@
                     instance.recordMisdirected(gateway.nowMs())
                     execution.attemptMisdirected(reason)
                 } else {
-                    execution.attemptNotRun(reason, sent = true, response.headers["Retry-After"])
+                    execution.attemptNotRun(reason, sent = true)
                 }
             }
             isStreaming -> if (execution.completeStream(framing)) recordSuccess() else recordBroken("stream broken off")
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
@@ -121,7 +121,7 @@
 ) : InstanceView {
     override val id: InstanceId get() = instance.registered.id
     override val isEjected: Boolean = instance.isEjected(nowMs, STREAM_STALL_MS)
-    override val hasPermit: Boolean get() = instance.limit.hasPermit(nowMs)
+    override val hasPermit: Boolean get() = instance.limit.hasPermit(nowMs) && instance.admitsRequest(nowMs)
     override val load: KnownLoad get() = instance.load
     override val slots: Int? get() =
         instance.load.lastReport
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -10,12 +10,17 @@
 import io.teaselspring.core.placement.KnownLoad
 import io.teaselspring.core.placement.PlacementCandidate
 import io.teaselspring.core.placement.PrefixCacheEstimate
+import io.teaselspring.core.registry.Availability
 import io.teaselspring.core.registry.InstanceRegistry
 import io.teaselspring.core.registry.RegisteredInstance
 import io.teaselspring.core.registry.RegistryChange
+import io.teaselspring.core.registry.StatedAvailability
+import io.teaselspring.core.registry.parsePause
 import io.teaselspring.daemon.http.HttpConnections
 import io.teaselspring.daemon.http.ServerConnections
 import org.slf4j.LoggerFactory
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 private val log = LoggerFactory.getLogger("io.teaselspring.daemon.gateway")
 
@@ -37,6 +42,9 @@
     private var ejectedUntilMs = 0L
     val prefixCache = PrefixCacheEstimate()
 
+    /** What the process has said about the requests that it wants. */
+    val stated = StatedAvailability()
+
     /** Applies a changed registry row of the same process. */
     fun update(row: RegisteredInstance) {
         registered = row
@@ -77,6 +85,38 @@
         return true
     }
 
+    /** Whether the instance may get one more request by what it has said. */
+    fun admitsRequest(nowMs: Long): Boolean = stated.admits(load.ownRequests, registered.slots, nowMs)
+
+    /** The process says in a response that it is leaving: connections that are idle now are of no more use. */
+    fun recordLeaving() {
+        if (!stated.recordLeaving()) return
+        log.info(
+            "event=instance_leaving instance={} upstream={} source=response running={}",
+            registered.id,
+            registered.upstream,
+            load.ownRequests,
+        )
+        server.closeIdle()
+    }
+
+    /** Records the `Retry-After` [headers] of a refusal. */
+    fun recordPause(
+        headers: List<String>,
+        nowMs: Long,
+    ) {
+        if (headers.isEmpty()) return
+        val pause = parsePause(headers)
+        if (pause != null) stated.recordPause(pause, nowMs)
+        log.info(
+            "event=instance_paused instance={} upstream={} header=\"{}\" paused_for_ms={}",
+            registered.id,
+            registered.upstream,
+            headers.joinToString(),
+            maxOf(0, stated.pausedUntilMs - nowMs),
+        )
+    }
+
     fun recordSuccess() {
         failures = 0
         ejectedUntilMs = 0
@@ -156,8 +196,19 @@
     /** Whether the registry has been read at least once. */
     var isLoaded = false
 
-    /** The instances of [upstream] that are not draining. */
-    fun available(upstream: UpstreamName): List<UpstreamInstance> = byUpstream[upstream].orEmpty()
+    /** The instances of [upstream] that may get one more request: neither draining nor leaving, and not in a pause. */
+    fun available(upstream: UpstreamName): List<UpstreamInstance> {
+        val now = nowMs()
+        return byUpstream[upstream].orEmpty().filter { it.admitsRequest(now) }
+    }
+
+    /** Time until the first instance of [upstream] ends its pause, or null unless all that stay are in a pause. */
+    fun pauseOf(upstream: UpstreamName): Duration? {
+        val now = nowMs()
+        val staying = byUpstream[upstream].orEmpty().filter { it.stated.at(now) != Availability.LEAVING }
+        if (staying.any { it.stated.at(now) == Availability.OPEN }) return null
+        return staying.minOfOrNull { it.stated.pausedUntilMs - now }?.milliseconds
+    }
 
     fun all(): Collection<UpstreamInstance> = byId.values
 
