Tell an empty list of organisations from a missing one

Cause: the row read a missing list and an empty one alike, and no organisation meant that no key is needed.

--- a/core/src/main/kotlin/io/teaselspring/core/routing/RoutingConfig.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/routing/RoutingConfig.kt
@@ -86,21 +86,25 @@
     }
 }
 
-/** One version of the routing table with its indexes. */
+/**
+ * One version of the routing table with its indexes. If [organisations] is null, no request needs a key; if it is
+ * empty, every request does whose route is not public, and none has one that is known.
+ */
 public class RoutingConfig(
     public val version: Long,
     public val routes: List<RequestRoute>,
-    public val organisations: List<CallerOrganisation>,
+    public val organisations: List<CallerOrganisation>?,
     public val limits: CallerLimits = CallerLimits(),
 ) {
     private val routesByHost =
         routes.groupBy { it.host }.mapValues { (_, all) ->
             all.sortedByDescending { it.prefix.length }
         }
-    private val organisationsByKey = buildMap { organisations.forEach { one -> one.keys.forEach { put(it, one) } } }
+    private val organisationsByKey =
+        buildMap { organisations.orEmpty().forEach { one -> one.keys.forEach { put(it, one) } } }
 
-    /** Whether any organisation is configured; if none is, no request needs a key. */
-    public val hasKeys: Boolean get() = organisations.isNotEmpty()
+    /** Whether requests on routes that are not public need a key. */
+    public val requiresKeys: Boolean get() = organisations != null
 
     /** The route with the longest prefix of [path] among those of [host]. */
     public fun route(
@@ -116,7 +120,7 @@
     ): RoutingDecision {
         val route = route(host, path) ?: return RoutingDecision.NoRoute
         val organisation = key?.let { organisationsByKey[it] }
-        if (hasKeys && !route.isPublic && organisation == null) return RoutingDecision.UnknownKey
+        if (requiresKeys && !route.isPublic && organisation == null) return RoutingDecision.UnknownKey
         return RoutingDecision.Allowed(route, organisation)
     }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ConfigState.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ConfigState.kt
@@ -62,7 +62,7 @@
             config.version,
             old?.version,
             config.routes.size,
-            config.organisations.size,
+            config.organisations?.size,
         )
     }
 
