--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallerConnection.kt
@@ -45,6 +45,7 @@
     private var partialBody: CompositeByteBuf? = null
     private var bodyMemory = context.memory.Share()
     private var execution: RequestHandle? = null
+    private var requestNumber = 0L
     private var isResponding = false
     private var keepAlive = true
     private var acceptsChunks = true
@@ -141,12 +142,10 @@
         hasReceivedRequest = true
         lastProgressMs = context.nowMs()
         val headers = head.headers()
-        // A request with both Transfer-Encoding and Content-Length can smuggle a second request past a proxy.
-        val isAmbiguous =
-            headers.contains(HttpHeaderNames.TRANSFER_ENCODING) && headers.contains(HttpHeaderNames.CONTENT_LENGTH)
         val length = HttpUtil.getContentLength(head, 0L)
         when {
-            isAmbiguous || headers.getAll(HttpHeaderNames.HOST).size != 1 -> reject(HttpResponseStatus.BAD_REQUEST)
+            !headers.stateOneFraming() || !head.uri().isPrintableAscii() -> reject(HttpResponseStatus.BAD_REQUEST)
+            headers.getAll(HttpHeaderNames.HOST).size != 1 -> reject(HttpResponseStatus.BAD_REQUEST)
             length > limits.bodyBytes -> reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
             !bodyMemory.grow(length) -> refuseForMemory(headers)
             else -> {
@@ -184,9 +183,10 @@
             val memory = bodyMemory
             bodyMemory = context.memory.Share()
             val request = IncomingRequest(head.method(), head.uri(), head.headers(), requestBody, memory)
+            val number = ++requestNumber
             val handle = context.execute(request, this)
-            // The request may have been responded to before execute() returned.
-            if (isResponding) execution = handle
+            // The request may have been responded to before execute() returned, and a pipelined one have begun.
+            if (isResponding && number == requestNumber) execution = handle
         }
     }
 
@@ -268,7 +268,8 @@
     }
 
     private fun setConnection(headers: HttpHeaders) {
-        if (context.isDraining()) keepAlive = false
+        // A pipelined request that has been read is responded to before the connection is closed.
+        if (context.isDraining() && pipelined.none { it is HttpRequest }) keepAlive = false
         if (!keepAlive) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
@@ -35,18 +35,19 @@
 /** Shared state of one entry. */
 internal class Gateway(
     val settings: GatewaySettings,
-    val loop: EventLoop,
-    val nowMs: () -> Long,
+    runtime: GatewayRuntime,
     val config: ConfigState,
     val instances: UpstreamInstances,
-    val metrics: GatewayMetrics,
     val recordRequest: (OrganisationId) -> Unit,
     val entryCount: () -> Int,
     val randomBelow: (Int) -> Int,
     readMemory: (UpstreamInstance) -> Unit,
     val quarantine: RequestQuarantine,
-    val memory: ByteBudget,
 ) {
+    val loop: EventLoop = runtime.loop
+    val nowMs: () -> Long = runtime.nowMs
+    val metrics: GatewayMetrics = runtime.metrics
+    val memory: ByteBudget = runtime.memory
     val limits: RequestLimits get() = instances.limits
     val queues = StreamQueues(loop, nowMs, instances, entryCount, readMemory)
     val permits = PermitQueue(loop, nowMs)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -50,11 +50,9 @@
     private val gateway =
         Gateway(
             settings,
-            runtime.loop,
-            runtime.nowMs,
+            runtime,
             ConfigState(runtime.loop, runtime.clock),
             UpstreamInstances(runtime.connections, runtime.nowMs, limits),
-            runtime.metrics,
             usage::recordRequest,
             usage::entryCount,
             Random.Default::nextInt,
@@ -67,7 +65,6 @@
                 storeNowMs = { platform.storeClock.nowMs(runtime.clock()) },
                 CrashDetector(runtime.nowMs, runtime.connections::probe),
             ),
-            runtime.memory,
         )
     private var onConfigOutageEnded: () -> Unit = {}
     private val callers =
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
@@ -70,5 +70,22 @@
     return instances.available(upstream).any { it.registered.id !in tried && !it.limit.hasPermit(now) }
 }
 
+/**
+ * When to come back in seconds, if all instances of [upstream] that stay are in a pause, else null: spread over the
+ * time after the first pause ends, and no later than the caller waits, whose request ends at [deadlineMs].
+ */
+internal fun Gateway.pausedRetryAfter(
+    upstream: UpstreamName,
+    deadlineMs: Long,
+): String? {
+    val pauseMs = instances.pauseOf(upstream)?.inWholeMilliseconds ?: return null
+    val usableMs = (deadlineMs - nowMs()) / RETRY_AFTER_PART
+    return secondsText(minOf(pauseMs + randomBelow(PAUSE_SPREAD_MS), usableMs).coerceAtLeast(1))
+}
+
+/** Callers honour a `Retry-After` of at most this part of their remaining time. */
+private const val RETRY_AFTER_PART = 3
+private const val PAUSE_SPREAD_MS = 300
+
 /** As [STREAM_STALL_MS]; shorter, because non-stream requests take milliseconds. */
 private const val PLAIN_STALL_MS = 300L
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -86,7 +86,7 @@
             return
         }
         if (refuseQuarantined()) return
-        pausedRetryAfter()?.let { return refuse("all instances are paused", it) }
+        gateway.pausedRetryAfter(authorised.upstream, deadlineMs)?.let { return refuse("all instances are paused", it) }
         gateway.limits.recordDemand(upstream)
         timeout = gateway.loop.schedule({ onTimeout() }, timeoutMs, TimeUnit.MILLISECONDS)
         if (prompt.isEmpty()) tryNextInstance() else enqueue()
@@ -128,7 +128,10 @@
         when {
             mustWait -> waitForPermit()
             instance == null ->
-                refuse(if (attempts.tried.isEmpty()) "no instance" else "no further instance", pausedRetryAfter())
+                refuse(
+                    if (attempts.tried.isEmpty()) "no instance" else "no further instance",
+                    gateway.pausedRetryAfter(authorised.upstream, deadlineMs),
+                )
             else -> startAttempt(instance, instance.prefixCache.uncachedTokens(prompt, isPreferred = false))
         }
     }
@@ -167,9 +170,9 @@
         sent: Boolean,
     ) {
         if (sent && attempts.counted >= authorised.route.maxAttempts) {
-            refuse("refused by upstream: $reason", pausedRetryAfter())
+            refuse("refused by upstream: $reason", gateway.pausedRetryAfter(authorised.upstream, deadlineMs))
         } else if (attempts.areExhausted || (sent && !acquireRetry())) {
-            refuse("no attempt left: $reason", pausedRetryAfter())
+            refuse("no attempt left: $reason", gateway.pausedRetryAfter(authorised.upstream, deadlineMs))
         } else {
             log("call_retried", "not run: $reason")
             tryNextInstance()
@@ -219,17 +222,6 @@
         }
     }
 
-    /**
-     * When to come back in seconds, if all instances of the upstream that stay are in a pause, else null: spread over
-     * the time after the first pause ends, and no later than callers wait.
-     */
-    private fun pausedRetryAfter(): String? {
-        val pauseMs = gateway.instances.pauseOf(authorised.upstream)?.inWholeMilliseconds ?: return null
-        val spreadMs = gateway.randomBelow(PAUSE_SPREAD_MS)
-        val usableMs = (deadlineMs - gateway.nowMs()) / RETRY_AFTER_PART
-        return secondsText(minOf(pauseMs + spreadMs, usableMs).coerceAtLeast(1))
-    }
-
     private fun acquireRetry() =
         gateway.retryBudget(authorised.upstream).spend(authorised.organisation, gateway.nowMs())
 
@@ -359,10 +351,4 @@
         val details = RequestLogDetails(reason, outcome, attempts.tried, afterMs, firstEventMs, end)
         gateway.logRequest(event, requestId, known, details)
     }
-
-    private companion object {
-        /** Callers wait for at most this part of their remaining time. */
-        const val RETRY_AFTER_PART = 3
-        const val PAUSE_SPREAD_MS = 300
-    }
 }
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/ByteBudgetTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/ByteBudgetTest.kt
@@ -60,7 +60,7 @@
                         ConnectionAction.KEEP
                     }
                 val memory = ByteBudget(LIMIT_BYTES)
-                withGateway(engine, timeoutMs = 60_000, memory = memory) {
+                withSite(GatewaySite(listOf(engine), timeoutMs = 60_000, memory = memory)) {
                     coroutineScope {
                         val body = "b".repeat(BODY_BYTES)
                         val large =
@@ -97,7 +97,7 @@
                     }
                 }
             val memory = ByteBudget(LIMIT_BYTES)
-            withGateway(endless, timeoutMs = 20_000, memory = memory) {
+            withSite(GatewaySite(listOf(endless), timeoutMs = 20_000, memory = memory)) {
                 coroutineScope {
                     val broken = List(CALLS) { async { call(ORDER) } }
                     broken.awaitAll().forEach { withClue(it) { it shouldStartWith "HTTP/1.1 502" } }
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
@@ -48,7 +48,7 @@
 
 /** The entry with [upstreams] as its instances. [timeoutMs] is the timeout of all routes. */
 class GatewaySite(
-    private val upstreams: List<ScriptedUpstream>,
+    val upstreams: List<ScriptedUpstream>,
     private val timeoutMs: Long = 5_000,
     settings: GatewaySettings = testSettings(),
     stopLimit: Duration = 5.hours,
@@ -241,21 +241,14 @@
     stopLimit: Duration = 5.hours,
     reportsUsage: Boolean = false,
     sharedRows: FakeWatchedTable<SharedRow>? = null,
-    memory: ByteBudget = ByteBudget.ofProcess(),
-    limits: CallerLimits = CallerLimits(),
+    block: suspend GatewaySite.() -> Unit,
+) = withSite(GatewaySite(upstreams.toList(), timeoutMs, settings, stopLimit, reportsUsage, sharedRows), block)
+
+/** Runs [block] on [site] once its entry is ready. */
+suspend fun withSite(
+    site: GatewaySite,
     block: suspend GatewaySite.() -> Unit,
 ) {
-    val site =
-        GatewaySite(
-            upstreams.toList(),
-            timeoutMs,
-            settings,
-            stopLimit,
-            reportsUsage,
-            sharedRows,
-            memory = memory,
-            limits = limits,
-        )
     try {
         withContext(Dispatchers.IO) {
             eventually { site.isReady() shouldBe true }
@@ -263,7 +256,7 @@
         }
     } finally {
         site.close()
-        upstreams.forEach { it.close() }
+        site.upstreams.forEach { it.close() }
     }
 }
 
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/SlowReaderTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/SlowReaderTest.kt
@@ -86,7 +86,7 @@
 
         test("the idle timeout does not close the connection of a caller that is still reading") {
             val limits = CallerLimits(idleTimeoutMs = 1_000)
-            withGateway(largeResponses(), timeoutMs = 60_000, limits = limits) {
+            withSite(GatewaySite(listOf(largeResponses()), timeoutMs = 60_000, limits = limits)) {
                 connect(RECEIVE_BUFFER_BYTES).use { socket ->
                     socket.getOutputStream().write(request(PLAIN))
                     socket.readSlowly() - BODY_BYTES shouldBeInRange HEAD_BYTES
