--- a/core/src/main/kotlin/io/teaselspring/core/registry/StatedAvailability.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/registry/StatedAvailability.kt
@@ -82,8 +82,6 @@
         .mapNotNull { it.trim().takeIf(SECONDS::matches)?.toDoubleOrNull() }
         .filter { it > 0 }
         .maxOrNull()
-        ?.coerceAtMost(MAX_PAUSE_S)
         ?.seconds
 
 private val SECONDS = Regex("[0-9]{1,18}(\\.[0-9]*)?|\\.[0-9]+")
-private const val MAX_PAUSE_S = 1e9
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/RequestFramingTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/RequestFramingTest.kt
@@ -169,7 +169,7 @@
                         ConnectionAction.CLOSE
                     }
                 }
-            withGateway(engine) {
+            withGateway(engine, timeoutMs = 60_000) {
                 connect().use { socket ->
                     val unidentified = request(STREAM).decodeToString().replace("X-Request-Id: r1\r\n", "")
                     socket.send(request(ORDER), unidentified.toByteArray(), request(STREAM))
