Round the end of a stated pause up

A trace shows all of them 1 ms before its end: the entry reads its clock in whole milliseconds, so its pause ended up to one of them early, and a fraction of the pause was cut off.

Change: the end is rounded up.

--- a/core/src/main/kotlin/io/teaselspring/core/registry/StatedAvailability.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/registry/StatedAvailability.kt
@@ -5,9 +5,11 @@
  */
 package io.teaselspring.core.registry
 
+import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 
 /** Whether an instance wants requests. */
 public enum class Availability {
@@ -37,7 +39,8 @@
         pause: Duration,
         nowMs: Long,
     ) {
-        val untilMs = nowMs + minOf(pause, MAX_PAUSE).inWholeMilliseconds
+        // Rounded up twice: the pause, and the clock, which is read in whole milliseconds.
+        val untilMs = nowMs + ceil(minOf(pause, MAX_PAUSE).toDouble(DurationUnit.MILLISECONDS)).toLong() + 1
         if (untilMs <= pausedUntilMs) return
         if (nowMs >= pausedUntilMs) pausedAtMs = nowMs
         pausedUntilMs = untilMs
