Add failing tests: a response that is joined from two

An instance writes a response up to any byte and then another one, at once or later, or a part of an earlier response before the next one on a kept connection.

--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
@@ -170,9 +170,10 @@
         method: String = "POST",
         body: String = "",
         headers: String = "",
+        id: String = "r1",
     ): String =
         connect().use { socket ->
-            socket.getOutputStream().write(request(prefix, key, method, body, headers + "Connection: close\r\n"))
+            socket.getOutputStream().write(request(prefix, key, method, body, headers + "Connection: close\r\n", id))
             socket.getInputStream().readAllBytes().decodeToString()
         }
 
@@ -183,9 +184,10 @@
         method: String = "POST",
         body: String = "",
         headers: String = "",
+        id: String = "r1",
     ): ByteArray {
         val credential = key?.let { "X-Api-Key: $it\r\n" }.orEmpty()
-        val head = "$method ${prefix}x HTTP/1.1\r\nHost: rides.example\r\nX-Request-Id: r1\r\n$credential$headers"
+        val head = "$method ${prefix}x HTTP/1.1\r\nHost: rides.example\r\nX-Request-Id: $id\r\n$credential$headers"
         return "${head}Content-Length: ${body.length}\r\n\r\n$body".toByteArray()
     }
 
--- /dev/null
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/SplicedResponseTest.kt
@@ -0,0 +1,192 @@
+/*
+ * Guards against a response that is joined from two: an instance breaks off what it writes at any byte, in time or as a
+ * late copy before the next response, and goes on with another response. The caller gets one whole response of the
+ * instance, an error, or a response that is visibly incomplete. The number of splices of each kind is the system property
+ * `splice.count`.
+ */
+package io.teaselspring.daemon.gateway
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+import java.io.OutputStream
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.random.Random
+
+private const val NOT_RUN = "X-Not-Run: 1\r\n"
+private const val EVENTS = "id: 1\ndata: a first event\n\nid: 2\ndata: a second event\n\nid: 3\ndata: the last\n\n"
+private val success = RawResponse("success", "200 OK", "the whole body, and some more of it, up to its end")
+private val failure = RawResponse("failure", "500 Internal Server Error", "this instance has failed")
+private val refusal = RawResponse("refusal", "503 Service Unavailable", "full", extra = NOT_RUN)
+private val first =
+    listOf(
+        success,
+        failure,
+        refusal,
+        success.copy(name = "chunks", framing = RawFraming.CHUNKS),
+        success.copy(name = "until close", framing = RawFraming.UNTIL_CLOSE),
+        RawResponse("events", "200 OK", EVENTS, RawFraming.CHUNKS),
+        RawResponse("events until close", "200 OK", EVENTS, RawFraming.UNTIL_CLOSE),
+        RawResponse("long", "200 OK", "a body of one line ".repeat(40)),
+    )
+private val second =
+    listOf(
+        success,
+        failure,
+        refusal,
+        success.copy(name = "chunks", framing = RawFraming.CHUNKS),
+        RawResponse("error without an id", "400 Bad Request", "bad", echoesId = false),
+    )
+
+/** The first [cut] bytes of [before] and, after [pauseMs], the whole of [after]. */
+private data class Splice(
+    val route: String,
+    val before: RawResponse,
+    val cut: Int,
+    val after: RawResponse,
+    val pauseMs: Long,
+) {
+    /** Why a caller may not get [response], or null if it may; [ids] are of the requests of both responses. */
+    fun problemOf(
+        response: ReceivedResponse,
+        isLate: Boolean,
+    ): String? {
+        val candidates = if (isLate) listOf(after) else listOf(before)
+        val isWhole = candidates.any { response.status == it.status && response.body == it.body }
+        val isRefused = response.status.startsWith("503")
+        return when {
+            response.text.isEmpty() -> null
+            !response.hasSoundHeaders -> "malformed header"
+            isRefused -> "told as not run".takeUnless { (isLate || before.isRefusal) && after.isRefusal || isWhole }
+            !response.isOfInstance -> null
+            !response.isComplete -> "foreign bytes".takeUnless { candidates.any { it.body.startsWith(response.body) } }
+            else -> "not the response of the instance".takeUnless { isWhole }
+        }
+    }
+}
+
+private fun Random.splice(isLate: Boolean): Splice {
+    val before = first.random(this)
+    val route = listOf(PLAIN, ORDER, STREAM, RESUMED).random(this)
+    return Splice(route, before, nextInt(1, before.bytes("r0").size), second.random(this), listOf(0L, 5L).random(this))
+}
+
+private fun OutputStream.write(
+    splice: Splice,
+    beforeId: String?,
+    afterId: String?,
+) {
+    write(splice.before.bytes(beforeId), 0, splice.cut)
+    flush()
+    if (splice.pauseMs > 0) Thread.sleep(splice.pauseMs)
+    write(splice.after.bytes(afterId))
+    flush()
+}
+
+class SplicedResponseTest :
+    FunSpec({
+        val count = System.getProperty("splice.count")?.toInt() ?: 600
+
+        test("a response that is broken off and followed by another one is not completed by it") {
+            val random = Random(1)
+            var splice = random.splice(isLate = false)
+            val instance =
+                ScriptedUpstream { request, output ->
+                    val id = request.header("X-Request-Id")
+                    output.write(splice, id, id)
+                    ConnectionAction.CLOSE
+                }
+            val problems = mutableListOf<String>()
+            withGateway(instance, timeoutMs = 500) {
+                repeat(count) {
+                    splice = random.splice(isLate = false)
+                    val response = ReceivedResponse(call(splice.route, id = "r$it"))
+                    splice.problemOf(response, isLate = false)?.let { problems += "$it $splice\n${response.text}" }
+                }
+            }
+            withClue("${problems.size} of $count") { problems.shouldBeEmpty() }
+        }
+
+        test("a late copy that is broken off does not become a part of the next response") {
+            val random = Random(2)
+            var splice = random.splice(isLate = true)
+            val earlier = ConcurrentHashMap<OutputStream, String>()
+            var spliced = 0
+            val instance =
+                ScriptedUpstream { request, output ->
+                    val id = checkNotNull(request.header("X-Request-Id"))
+                    val earlierId = earlier.put(output, id)
+                    if (earlierId == null) {
+                        output.respond(request)
+                        ConnectionAction.KEEP
+                    } else {
+                        spliced += 1
+                        output.write(splice, earlierId, id)
+                        ConnectionAction.CLOSE
+                    }
+                }
+            val problems = mutableListOf<String>()
+            withGateway(instance, timeoutMs = 500) {
+                repeat(count) {
+                    splice = random.splice(isLate = true)
+                    call(PLAIN, id = "e$it")
+                    val response = ReceivedResponse(call(splice.route, id = "r$it"))
+                    if (response.body != "done") {
+                        splice.problemOf(response, isLate = true)?.let { problems += "$it $splice\n${response.text}" }
+                    }
+                }
+            }
+            spliced shouldBeGreaterThan count / 2
+            withClue("${problems.size} of $count") { problems.shouldBeEmpty() }
+        }
+
+        // A late copy is no evidence against the response before it.
+        test("a whole response reaches its caller although another one follows it on the connection") {
+            second.filter { it.echoesId }.forEach { copy ->
+                listOf("r1", "r0").forEach { copyId ->
+                    val instance =
+                        ScriptedUpstream { request, output ->
+                            output.write(success.bytes(request.header("X-Request-Id")) + copy.bytes(copyId))
+                            output.flush()
+                            ConnectionAction.KEEP
+                        }
+                    withGateway(instance) {
+                        repeat(10) {
+                            val response = ReceivedResponse(call(ORDER))
+                            withClue("$copy, $copyId: ${response.text}") {
+                                response.status shouldBe success.status
+                                response.body shouldBe success.body
+                            }
+                        }
+                    }
+                }
+            }
+        }
+
+        test("a response that quotes a response of another exchange reaches its caller unchanged") {
+            val quoting = "a log:\nHTTP/1.1 500 Oops\r\nX-Request-Id: other\r\n\r\nHTTP/1.1 200 O"
+            val random = Random(3)
+            for (framing in RawFraming.entries) {
+                val quote = RawResponse("quote", "200 OK", quoting, framing, "Content-Language: en\r\n")
+                val instance =
+                    ScriptedUpstream { request, output ->
+                        val bytes = quote.bytes(request.header("X-Request-Id"))
+                        val cut = random.nextInt(bytes.size)
+                        output.write(bytes, 0, cut)
+                        output.flush()
+                        Thread.sleep(2)
+                        output.write(bytes, cut, bytes.size - cut)
+                        output.flush()
+                        if (framing == RawFraming.UNTIL_CLOSE) ConnectionAction.CLOSE else ConnectionAction.KEEP
+                    }
+                withGateway(instance) {
+                    repeat(40) {
+                        val response = ReceivedResponse(call(ORDER))
+                        withClue("$framing: ${response.text}") { response.body shouldBe quoting }
+                    }
+                }
+            }
+        }
+    })
