Log and count connections that are out of step

A response that was joined from two left no line, and one that was refused only the reason of `instance_avoided`. Each connection on which a server writes what is not the response to the request now logs `connection_out_of_step` with kind, peer and the request's id, and counts in teaselspring_connections_out_of_step_total: a head of two responses, a response inside another, a late copy, bytes behind a response, bytes while idle.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
@@ -90,6 +90,14 @@
             .labelNames("call", "outcome")
             .register(registry)
 
+    private val outOfStep =
+        Counter
+            .builder()
+            .name("teaselspring_connections_out_of_step_total")
+            .help("Connections whose server wrote what is not the response to the request on it, by kind")
+            .labelNames("kind")
+            .register(registry)
+
     private val memoryRefusals =
         Counter
             .builder()
@@ -98,6 +106,8 @@
             .labelNames("what")
             .register(registry)
 
+    fun outOfStep(kind: String) = outOfStep.labelValues(kind).inc()
+
     /** [what] is "request" or "response". */
     fun memoryRefused(what: String) = memoryRefusals.labelValues(what).inc()
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
@@ -16,6 +16,7 @@
 import io.teaselspring.core.routing.RoutingConfig
 import io.teaselspring.daemon.Running
 import io.teaselspring.daemon.http.HttpConnections
+import io.teaselspring.daemon.http.OutOfStep
 import io.teaselspring.ports.PlatformError
 import io.teaselspring.ports.TableStore
 import io.teaselspring.ports.UsageIntake
@@ -25,11 +26,14 @@
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.plus
 import kotlinx.coroutines.withContext
+import org.slf4j.LoggerFactory
 import java.net.InetSocketAddress
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+private val log = LoggerFactory.getLogger("io.teaselspring.daemon.gateway")
+
 /** Listen addresses of an entry. [readyPath] responds 200 while the entry is ready for callers, 503 otherwise. */
 data class GatewayAddresses(
     val callers: InetSocketAddress,
@@ -91,8 +95,8 @@
 
     internal val loop: EventLoop = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next() as EventLoop
     internal val nowMs: () -> Long = { System.nanoTime() / NANOS_PER_MS }
-    internal val connections = HttpConnections(loop, nowMs)
     internal val metrics = GatewayMetrics(PrometheusRegistry())
+    internal val connections = HttpConnections(loop, nowMs, onOutOfStep = ::recordOutOfStep)
 
     /** HTTP client on the event loop. */
     val calls: HttpCalls = HttpCalls(connections, metrics::controlCall)
@@ -103,6 +107,16 @@
     /** Reads the monotonic and the wall clock. */
     val clock: () -> ClockReading = { ClockReading(nowMs(), System.currentTimeMillis()) }
 
+    private fun recordOutOfStep(seen: OutOfStep) {
+        metrics.outOfStep(seen.kind.label)
+        log.info(
+            "event=connection_out_of_step kind={} peer={} request={}",
+            seen.kind.label,
+            seen.address,
+            seen.requestId,
+        )
+    }
+
     private companion object {
         const val NANOS_PER_MS = 1_000_000L
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
@@ -108,8 +108,7 @@
     ) {
         try {
             when {
-                // The bytes belong to no request, so the stream is out of step.
-                listener == null -> if (!isSkipping) close()
+                listener == null -> onUnexpected(message)
                 message is ByteBuf -> addBehind(message)
                 message is HttpObject && message.decoderResult().isFailure ->
                     fail("unreadable answer: ${message.decoderResult().cause().message}")
@@ -123,14 +122,30 @@
         }
     }
 
+    /** The bytes belong to no request, so the stream is out of step. */
+    private fun onUnexpected(message: Any) {
+        if (isSkipping) return
+        if (message is ByteBuf && channel.isActive) reportOutOfStep(OutOfStepKind.IDLE_BYTES)
+        close()
+    }
+
+    private fun reportOutOfStep(kind: OutOfStepKind) = server.reportOutOfStep(kind, request?.requestId)
+
     private fun onHead(head: HttpResponse) {
         val sent = request ?: return
         val problem = head.headProblem(sent.idHeader)
         val isInformational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
         when {
-            problem != null -> fail("not the head of one response: $problem")
+            problem != null -> {
+                reportOutOfStep(OutOfStepKind.JOINED_HEAD)
+                fail("not the head of one response: $problem")
+            }
+            isInformational -> skipHead()
             // A duplicate response to an earlier request may arrive in place of the response to this one.
-            isInformational || !sent.acceptsResponse(head) -> skipHead()
+            !sent.acceptsResponse(head) -> {
+                reportOutOfStep(OutOfStepKind.OTHER_RESPONSE)
+                skipHead()
+            }
             !sent.isEchoedBy(head) -> fail("response without the request's id")
             else -> {
                 isSkipping = false
@@ -183,10 +198,11 @@
     }
 
     private fun addBehind(bytes: ByteBuf) {
-        if (!hasBytesBehind && !mayBeStatusLine(bytes, bytes.readerIndex()) && decoder?.hasStatusLineInside == true) {
-            fail("the body ends inside another response")
-        }
+        if (hasBytesBehind) return
         hasBytesBehind = true
+        reportOutOfStep(OutOfStepKind.BYTES_BEHIND)
+        val isOfOther = decoder?.hasStatusLineInside == true && !mayBeStatusLine(bytes, bytes.readerIndex())
+        if (isOfOther) fail("the body ends inside another response")
     }
 
     override fun channelReadComplete(ctx: ChannelHandlerContext) {
@@ -241,6 +257,7 @@
         cause: Throwable,
     ) {
         failure = cause.message ?: cause.javaClass.simpleName
+        if (cause is JoinedResponseException) reportOutOfStep(OutOfStepKind.EMBEDDED_RESPONSE)
         if (cause is JoinedResponseException) fail(cause.message.orEmpty()) else ctx.close()
     }
 
@@ -269,28 +286,11 @@
     /** An id that the caller wrote into its request may come back in the body. */
     private fun ByteBuf.contains(id: String) = ByteBufUtil.indexOf(Unpooled.wrappedBuffer(id.toByteArray()), this) >= 0
 
-    /** Returns the idle timeout: less than the server announces, because the response took time to arrive. */
-    private fun HttpResponse.idleTimeoutMs(): Long {
-        val keepAlive = headers()["Keep-Alive"] ?: return DEFAULT_IDLE_TIMEOUT_MS
-        val seconds =
-            KEEP_ALIVE_TIMEOUT
-                .find(keepAlive)
-                ?.groupValues
-                ?.get(1)
-                ?.toLongOrNull() ?: return DEFAULT_IDLE_TIMEOUT_MS
-        return seconds * MILLIS_PER_S - KEEP_ALIVE_MARGIN_MS
-    }
-
     private companion object {
-        const val MILLIS_PER_S = 1000L
-
         /** Limits of informational responses and responses to other requests; a faulty server may send without end. */
         const val MAX_SKIPPED_HEADS = 16
         const val MAX_SKIPPED_BYTES = 1024 * 1024
         const val MAX_EARLIER_IDS = 8
-        const val KEEP_ALIVE_MARGIN_MS = 700L
-        const val DEFAULT_IDLE_TIMEOUT_MS = 2_000L
         val TYPES_WITHOUT_QUOTES = listOf("text/event-stream", "application/json")
-        val KEEP_ALIVE_TIMEOUT = Regex("timeout=(\\d+)")
     }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
@@ -88,13 +88,14 @@
 
 /**
  * Opens connections, and pools them for reuse if [reuseConnections] is set. An attempt to connect fails after
- * [connectTimeout].
+ * [connectTimeout]. [onOutOfStep] is told of each connection whose responses do not follow its requests.
  */
 internal class HttpConnections(
     val loop: EventLoop,
     private val nowMs: () -> Long,
     private val connectTimeout: Duration = 400.milliseconds,
     val reuseConnections: Boolean = true,
+    val onOutOfStep: (OutOfStep) -> Unit = {},
 ) {
     private val servers = HashMap<String, ServerConnections>()
 
@@ -199,6 +200,11 @@
 
     fun now() = connections.now()
 
+    fun reportOutOfStep(
+        kind: OutOfStepKind,
+        requestId: String?,
+    ) = connections.onOutOfStep(OutOfStep(kind, address, requestId))
+
     /** Returns [connection] to the pool after an exchange, or closes it if connections are not reused. */
     fun release(connection: HttpConnection) {
         if (connections.reuseConnections) idle.addLast(connection) else connection.close()
