Test responses that break off at any byte before the connection closes

A body without length or chunks can only be cut in its head here, as its end is that of the connection.

--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/RawResponse.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/RawResponse.kt
@@ -18,6 +18,9 @@
 ) {
     val isRefusal: Boolean get() = "X-Not-Run" in extra
 
+    /** The length of the head, with the empty line that ends it. */
+    val headLength: Int get() = String(bytes("r0")).indexOf("\r\n\r\n") + 4
+
     /** The bytes of the response to the request with [id]. */
     fun bytes(id: String?): ByteArray {
         val echo = id.takeIf { echoesId }?.let { "X-Request-Id: $it\r\n" }.orEmpty()
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/SplicedResponseTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/SplicedResponseTest.kt
@@ -143,6 +143,30 @@
             withClue("${problems.size} of $count") { problems.shouldBeEmpty() }
         }
 
+        // Without a length or chunks only the head can show that the response is not whole.
+        test("a response that is broken off and followed by the end of the connection is not complete") {
+            val random = Random(seed + 2_000)
+            var splice = random.splice()
+            val instance =
+                ScriptedUpstream { request, output ->
+                    output.write(splice.before.bytes(request.header("X-Request-Id")), 0, splice.cut)
+                    output.flush()
+                    Thread.sleep(splice.pauseMs)
+                    ConnectionAction.CLOSE
+                }
+            val problems = mutableListOf<String>()
+            withGateway(instance, timeoutMs = 500) {
+                repeat(count) {
+                    val drawn = random.splice()
+                    val isUnframed = drawn.before.framing == RawFraming.UNTIL_CLOSE
+                    splice = if (isUnframed) drawn.copy(cut = drawn.cut % drawn.before.headLength) else drawn
+                    val response = ReceivedResponse(call(splice.route, id = "r$it"))
+                    splice.problemOf(response, isLate = false)?.let { problems += "$it $splice\n${response.text}" }
+                }
+            }
+            withClue("${problems.size} of $count") { problems.shouldBeEmpty() }
+        }
+
         // A late copy is no evidence against the response before it.
         test("a whole response reaches its caller although another one follows it on the connection") {
             second.filter { it.echoesId }.forEach { copy ->
