Answer a stream that broke off before its first bytes with an error

What callers saw: the connection was closed without a byte of a response when an instance sent the head of a stream and broke off before the first bytes of its body, or before the first whole event of a resumable one.

Cause: the head counted as received by the caller once it was written, but it is flushed with the first bytes of the body. The request then ended by closing the connection, which drops the head.

Change: the head goes out with the first bytes of the body or with the end of the stream. Until then the request may run on another instance, where the route allows it, or ends with the entry's 502.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
@@ -10,16 +10,18 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.teaselspring.daemon.http.BodyFraming
 
-/** A stream that is forwarded to [writer], possibly from several instances in turn. */
+/** A stream that is forwarded to [writer], possibly from several instances in turn; [onBegin] precedes its head. */
 internal class ForwardedStream(
     private val writer: ResponseWriter,
+    private val onBegin: () -> Unit,
 ) {
+    private var unsentHead: BufferedResponse? = null
     private var framer: EventFramer? = null
     private var isEventStream = true
     private var eventsOfEarlierResponses = 0L
     private val boundaries = EventBoundaries()
 
-    /** Whether the caller has received the head. */
+    /** Whether the caller has received the head, which goes out with the first bytes of the body. */
     var hasBegun = false
         private set
 
@@ -48,7 +50,7 @@
 
     /** How the last response ended, or what has arrived of it; its body has this [framing]. */
     fun responseEnd(framing: BodyFraming): ResponseEnd =
-        if (hasBegun) {
+        if (hasBegun || unsentHead != null) {
             ResponseEnd(framing, completeEvents, isInsideEvent)
         } else {
             ResponseEnd(framing, events = null, isInsideEvent = null)
@@ -61,15 +63,34 @@
     fun isContinuedBy(headers: HttpHeaders): Boolean =
         !hasBegun || (headers.statesEvents() && HttpHeaderNames.CONTENT_ENCODING !in headers)
 
-    /** Sends the head of [response] to the caller. */
+    /** Begins the stream with [response], unless the caller has received the head of an earlier one. */
     fun begin(
         response: BufferedResponse,
         isResumable: Boolean,
     ) {
-        hasBegun = true
+        if (hasBegun) return
+        unsentHead = response
         isEventStream = response.headers.statesEvents()
-        if (isResumable && isEventStream) framer = EventFramer(boundaries)
-        writer.writeHead(response.status, response.headers)
+        framer = if (isResumable && isEventStream) EventFramer(boundaries) else null
+    }
+
+    /** Ends the stream as complete. */
+    fun end() {
+        sendHead()
+        writer.end()
+    }
+
+    private fun send(chunk: ByteBuf) {
+        sendHead()
+        writer.writeBody(chunk)
+    }
+
+    private fun sendHead() {
+        val head = unsentHead ?: return
+        unsentHead = null
+        hasBegun = true
+        onBegin()
+        writer.writeHead(head.status, head.headers)
     }
 
     /**
@@ -84,9 +105,9 @@
         val framer = framer
         if (framer == null) {
             boundaries.add(chunk)
-            writer.writeBody(chunk.retain())
+            send(chunk.retain())
         } else {
-            framer.add(chunk)?.let { writer.writeBody(it) }
+            framer.add(chunk)?.let(::send)
         }
         return framer?.isOversized != true
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -40,7 +40,10 @@
     private var attempt: InstanceAttempt? = null
 
     /** The stream that the caller receives, from all attempts. */
-    val stream = ForwardedStream(writer)
+    val stream =
+        ForwardedStream(writer) {
+            gateway.metrics.responded(authorised.route.name, (gateway.nowMs() - arrivedMs).milliseconds)
+        }
     private var isFinished = false
     private var queueId: Long? = null
 
@@ -226,12 +229,7 @@
         gateway.retryBudget(authorised.upstream).spend(authorised.organisation, gateway.nowMs())
 
     /** An instance has sent the head of a stream; the caller gets the stream as it arrives. */
-    fun streamStarted(response: BufferedResponse) {
-        // A stream that resumes on another instance keeps the head of the first one.
-        if (stream.hasBegun) return
-        gateway.metrics.responded(authorised.route.name, (gateway.nowMs() - arrivedMs).milliseconds)
-        stream.begin(response, authorised.route.isResumable)
-    }
+    fun streamStarted(response: BufferedResponse) = stream.begin(response, authorised.route.isResumable)
 
     /** Forwards [chunk] of the stream; the attempt keeps its ownership. Returns false if an event is too large. */
     fun streamChunk(chunk: ByteBuf): Boolean {
@@ -246,7 +244,7 @@
         if (!stream.isCompleteAtEnd(framing)) return false
         gateway.retryBudget(authorised.upstream).succeeded(authorised.organisation, gateway.nowMs())
         finish("answered", "200")
-        writer.end()
+        stream.end()
         return true
     }
 
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/TruncatedStreamTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/TruncatedStreamTest.kt
@@ -183,6 +183,15 @@
             withGateway(empty) { call(ORDER) shouldStartWith "HTTP/1.1 200" }
         }
 
+        // Guards against a connection that is closed without a response because only the head was there to send.
+        test("a stream that breaks off before anything of it was forwarded is an error of the entry") {
+            for ((route, pieces) in listOf(STREAM to "", RESUMED to "", RESUMED to "id: 1\nda")) {
+                withGateway(untilClose(pieces), untilClose(pieces)) {
+                    repeat(3) { withClue(route) { call(route) shouldStartWith "HTTP/1.1 502" } }
+                }
+            }
+        }
+
         test("a stream that is reset between events does not end as complete") {
             val instance = untilClose("id: 1\ndata: a\n\n", last = ConnectionAction.RESET)
             withGateway(instance) { call(STREAM).isEndedByLastChunk() shouldBe false }
