Carry the agents' streams and health checks over the shared HTTP client

What entries saw: an upstream that breaks a response off at any byte and then writes another one on the connection got events of another response and malformed headers passed on, and requests reported as "not run" that its second response shows to have run.

Cause: streams and health checks went over Ktor's CIO client, which reads one response from both; a 503 counted as a refusal from its head alone.

Change: UpstreamClient uses the connections of daemon.http for streams and health checks too, as plain requests do; the CIO client is dropped there. A refusal counts only once its body has ended without another byte or head behind or inside it. The status and headers of every response pass through UpstreamClient.receive.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/PlainHttpClient.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/PlainHttpClient.kt
@@ -1,6 +1,6 @@
 /*
- * HTTP client that forwards plain requests to an agent's upstream, with backpressure on the response body. Each request
- * has its own connection: if the upstream closed a reused one meanwhile, the request would fail with unknown outcome.
+ * HTTP client of an agent's upstream, with backpressure on the response body. Each request has its own connection: if
+ * the upstream closed a reused one meanwhile, the request would fail with unknown outcome.
  */
 package io.teaselspring.daemon.agent
 
@@ -12,6 +12,7 @@
 import io.netty.channel.nio.NioIoHandler
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.teaselspring.daemon.http.Exchange
@@ -28,14 +29,17 @@
 import kotlin.time.TimeSource
 
 /**
- * An event of a plain response. The order is [Head], any number of [BodyChunk] and one of the others, or one of the
- * others alone.
+ * An event of a response as it arrives. The order is [Head], any number of [BodyChunk] and one of the others, or one of
+ * the others alone.
  */
 internal sealed interface PlainEvent {
     data class Head(
         val status: Int,
         val headers: List<Header>,
-    ) : PlainEvent
+    ) : PlainEvent {
+        /** The first value of the header [name], or null. */
+        fun header(name: String): String? = headers.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
+    }
 
     class BodyChunk(
         val bytes: ByteArray,
@@ -52,7 +56,7 @@
     ) : PlainEvent
 }
 
-/** Sends plain requests to [baseUrl]; [connectTimeout] bounds the opening of a connection. */
+/** Sends requests to [baseUrl]; [connectTimeout] bounds the opening of a connection. */
 internal class PlainHttpClient(
     baseUrl: String,
     connectTimeout: Duration,
@@ -65,17 +69,31 @@
     private val connections =
         HttpConnections(loop, { start.elapsedNow().inWholeMilliseconds }, connectTimeout, reuseConnections = false)
 
-    /** Sends the request in [submit]; the caller must close the returned exchange. */
-    fun send(submit: Message.Submit): PlainExchange {
-        val headers = DefaultHttpHeaders()
-        headers[HttpHeaderNames.HOST] = address
-        submit.headers.forUpstream().forEach { headers.add(it.name, it.value) }
-        headers[REQUEST_ID_HEADER] = submit.requestId.value
-        val uri = url.rawPath.removeSuffix("/") + submit.path
+    /**
+     * Sends the request in [submit] with [headers]; the caller must close the returned exchange. A response for whose
+     * status [isRefusal] is true proves nothing if another byte follows it.
+     */
+    fun send(
+        submit: Message.Submit,
+        headers: List<Header> = submit.headers,
+        isRefusal: (status: Int) -> Boolean = { false },
+    ): PlainExchange {
+        val fields = newHeaders()
+        headers.forUpstream().forEach { fields.add(it.name, it.value) }
+        fields[REQUEST_ID_HEADER] = submit.requestId.value
         val body = Unpooled.wrappedBuffer(submit.body)
-        return PlainExchange(OutgoingRequest(HttpMethod.valueOf(submit.method), uri, headers, body))
+        val method = HttpMethod.valueOf(submit.method)
+        return PlainExchange(OutgoingRequest(method, uri(submit.path), fields, body), isRefusal)
     }
 
+    /** Gets [path]; the caller must close the returned exchange. */
+    fun get(path: String): PlainExchange =
+        PlainExchange(OutgoingRequest(HttpMethod.GET, uri(path), newHeaders())) { false }
+
+    private fun newHeaders(): HttpHeaders = DefaultHttpHeaders().set(HttpHeaderNames.HOST, address)
+
+    private fun uri(path: String) = url.rawPath.removeSuffix("/") + path
+
     override fun close() {
         group.shutdownGracefully()
     }
@@ -83,6 +101,7 @@
     /** One request and its response. */
     inner class PlainExchange(
         request: OutgoingRequest,
+        private val isRefusal: (status: Int) -> Boolean,
     ) : AutoCloseable {
         private val events = Channel<PlainEvent>(Channel.UNLIMITED)
         private var exchange: Exchange? = null
@@ -111,8 +130,11 @@
         private inner class Listener : ExchangeListener {
             override fun notSent(reason: String) = emit(PlainEvent.NotSent(reason))
 
-            override fun head(response: HttpResponse) =
-                emit(PlainEvent.Head(response.status().code(), response.headers().map { Header(it.key, it.value) }))
+            override fun head(response: HttpResponse) {
+                val status = response.status().code()
+                if (isRefusal(status)) exchange?.expectRefusal()
+                emit(PlainEvent.Head(status, response.headers().map { Header(it.key, it.value) }))
+            }
 
             override fun body(piece: ByteBuf) {
                 if (!piece.isReadable) return
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/UpstreamClient.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/UpstreamClient.kt
@@ -1,43 +1,20 @@
 /*
  * Client of an agent's upstream: chat completions as server-sent events, plain requests forwarded as they are, and the
  * health check. Each request uses its own connection and closes it on cancellation, which cancels the request on the
- * engine.
+ * engine. All go over the connections of daemon.http, which refuse a response that is joined from two.
  */
 package io.teaselspring.daemon.agent
 
-import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
-import io.ktor.client.engine.cio.endpoint
-import io.ktor.client.plugins.sse.ClientSSESession
-import io.ktor.client.plugins.sse.SSE
-import io.ktor.client.plugins.sse.SSEClientException
-import io.ktor.client.plugins.sse.sse
-import io.ktor.client.request.HttpRequestBuilder
-import io.ktor.client.request.header
-import io.ktor.client.request.prepareGet
-import io.ktor.client.request.setBody
-import io.ktor.client.statement.HttpResponse
-import io.ktor.http.HttpMethod
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
-import io.ktor.http.encodedPath
-import io.ktor.http.isSuccess
-import io.ktor.http.takeFrom
 import io.ktor.sse.ServerSentEvent
-import io.teaselspring.daemon.http.REQUEST_ID_HEADER
 import io.teaselspring.daemon.http.forCaller
-import io.teaselspring.daemon.http.forUpstream
-import io.teaselspring.daemon.http.toHeaderList
-import io.teaselspring.ports.readBody
 import io.teaselspring.protocol.Header
 import io.teaselspring.protocol.Message
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.Job
-import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.flow.buffer
-import kotlinx.coroutines.flow.produceIn
 import kotlinx.coroutines.withTimeoutOrNull
-import java.net.ConnectException
+import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -55,48 +32,28 @@
 /** Request headers that would change the format of an event stream, or that the client sets itself. */
 private val HEADERS_NOT_FORWARDED_FOR_STREAMS = setOf("accept", "accept-encoding", "cache-control")
 
+private val REFUSALS = setOf(HttpStatusCode.TooManyRequests.value, HttpStatusCode.ServiceUnavailable.value)
+
 /** Client of the upstream at [baseUrl]. [streamIdleTimeout] bounds the time without data. */
 internal class UpstreamClient(
-    private val baseUrl: String,
+    baseUrl: String,
     private val streamIdleTimeout: Duration,
     connectionTimeout: Duration,
 ) : AutoCloseable {
-    private val client =
-        HttpClient(CIO) {
-            expectSuccess = false
-            followRedirects = false
-            install(SSE)
-            engine {
-                requestTimeout = 0
-                maxConnectionsCount = 100_000
-                endpoint {
-                    maxConnectionsPerRoute = 100_000
-                    connectTimeout = connectionTimeout.inWholeMilliseconds
-                    connectAttempts = 1
-                }
-            }
-        }
+    private val client = PlainHttpClient(baseUrl, connectionTimeout)
 
-    private val plainClient = PlainHttpClient(baseUrl, connectionTimeout)
-
-    override fun close() {
-        client.close()
-        plainClient.close()
-    }
+    override fun close() = client.close()
 
     /** True if the upstream responds to its health check with success within [timeout]. */
     suspend fun isHealthy(timeout: Duration): Boolean =
-        try {
-            withTimeoutOrNull(timeout) {
-                client.prepareGet("$baseUrl/healthz").execute {
-                    it.status.isSuccess() && it.readBody(MAX_HEALTH_BODY_BYTES) != null
-                }
-            } ?: false
-        } catch (e: CancellationException) {
-            throw e
-        } catch (_: Exception) {
-            false
-        }
+        withTimeoutOrNull(timeout) {
+            client.get("/healthz").use { exchange ->
+                val head = exchange.receive()
+                head is PlainEvent.Head &&
+                    head.status in 200..299 &&
+                    exchange.receiveBody(MAX_HEALTH_BODY_BYTES) is Body.Whole
+            }
+        } ?: false
 
     /** Runs a chat completion, resuming at the attempt's offset. [onToken] is called for each forwarded event. */
     suspend fun streamChat(
@@ -104,62 +61,59 @@
         onToken: suspend () -> Unit,
     ): RunResult =
         mapExceptions {
-            var execution: Job? = null
-            try {
-                var result: RunResult? = null
-                client.sse(request = {
-                    execution = executionContext
-                    prepare(attempt.submit, HEADERS_NOT_FORWARDED_FOR_STREAMS)
-                    if (attempt.nextOffset > 0) header("Last-Event-ID", (attempt.nextOffset - 1).toString())
-                }) {
-                    result = relay(attempt, onToken)
-                }
-                result ?: RunResult.Broken("the event stream did not begin")
-            } catch (e: SSEClientException) {
-                val response = e.response
-                val isConnectFailure = e.cause is ConnectException
+            client.send(attempt.submit, attempt.streamHeaders(), REFUSALS::contains).use { exchange ->
+                val first = exchange.receive()
                 when {
-                    isConnectFailure -> RunResult.NotSent(e.cause?.message ?: "connection refused")
-                    response == null -> RunResult.Broken(e.message ?: "the event stream broke off")
-                    else -> handleUnstreamedResponse(attempt, response)
+                    first is PlainEvent.NotSent -> RunResult.NotSent(first.reason)
+                    first is PlainEvent.Broken -> RunResult.Broken(first.reason)
+                    first !is PlainEvent.Head -> RunResult.Broken("the event stream did not begin")
+                    first.startsEventStream() -> {
+                        attempt.sendStarted(first)
+                        exchange.relayEvents(attempt, onToken)
+                    }
+                    else -> exchange.handleUnstreamedResponse(attempt, first)
                 }
-            } finally {
-                // Until the response starts, the plugin runs the request in the client's scope, which a cancellation of
-                // this coroutine does not reach; the engine would continue a request that nobody waits for.
-                execution?.cancel()
             }
         }
 
     /** Forwards a plain request and its response. */
     suspend fun forward(attempt: Attempt): RunResult =
-        plainClient.send(attempt.submit).use { exchange ->
-            var result = attempt.relay(exchange.next())
-            while (result == null) {
-                val event = withTimeoutOrNull(streamIdleTimeout) { exchange.next() }
-                result = if (event == null) RunResult.Broken("no data for $streamIdleTimeout") else attempt.relay(event)
+        mapExceptions {
+            client.send(attempt.submit).use { exchange ->
+                var result = attempt.relay(exchange.receive())
+                while (result == null) {
+                    val event = withTimeoutOrNull(streamIdleTimeout) { exchange.receive() }
+                    result =
+                        if (event == null) RunResult.Broken("no data for $streamIdleTimeout") else attempt.relay(event)
+                }
+                result
             }
-            result
         }
 
-    private suspend fun ClientSSESession.relay(
+    /** Waits for the next part of a response. The status and headers of every response pass here. */
+    private suspend fun PlainHttpClient.PlainExchange.receive(): PlainEvent = next()
+
+    private suspend fun PlainHttpClient.PlainExchange.relayEvents(
         attempt: Attempt,
         onToken: suspend () -> Unit,
-    ): RunResult =
-        coroutineScope {
-            attempt.sendStarted(call.response)
-            val events = incoming.buffer(Channel.RENDEZVOUS).produceIn(this)
-            var timeout = streamIdleTimeout
-            var result: RunResult? = null
-            while (result == null) {
-                val event = withTimeoutOrNull(timeout) { events.receiveCatching() }
-                result =
-                    if (event == null) RunResult.Broken("no event for $timeout") else attempt.relay(event.getOrNull())
-                if (result == null) onToken()
-                timeout = attempt.eventTimeout()
-            }
-            events.cancel()
-            result
+    ): RunResult {
+        val reader = EventReader { receive() }
+        var timeout = streamIdleTimeout
+        var result: RunResult? = null
+        while (result == null) {
+            var event: ServerSentEvent? = null
+            val hasEvent = withTimeoutOrNull(timeout) { reader.next().also { event = it } != null }
+            result =
+                when (hasEvent) {
+                    null -> RunResult.Broken("no event for $timeout")
+                    false -> RunResult.Broken(reader.endReason)
+                    true -> attempt.relay(checkNotNull(event))
+                }
+            if (result == null) onToken()
+            timeout = attempt.eventTimeout()
         }
+        return result
+    }
 
     /** Event timeout: an engine this far behind its class's target has stalled, and a resume elsewhere is faster. */
     private fun Attempt.eventTimeout(): Duration =
@@ -167,45 +121,68 @@
             minOf(streamIdleTimeout, maxOf(MIN_STALL_TIMEOUT, (it * STALL_FACTOR).milliseconds))
         } ?: streamIdleTimeout
 
-    private suspend fun handleUnstreamedResponse(
+    private suspend fun PlainHttpClient.PlainExchange.handleUnstreamedResponse(
         attempt: Attempt,
-        response: HttpResponse,
+        head: PlainEvent.Head,
     ): RunResult {
-        val status = response.status
-        val isRefusal = status == HttpStatusCode.TooManyRequests || status == HttpStatusCode.ServiceUnavailable
+        val isRefusal = head.status in REFUSALS
+        val isErrorOfRequest = head.status in 400..499 && attempt.nextOffset == 0L
+        if (!isRefusal && !isErrorOfRequest) {
+            return RunResult.Broken("the upstream answered ${head.status} instead of an event stream")
+        }
+        // Only the end shows that the response is whole, and that its request did not run.
+        val body =
+            withTimeoutOrNull(streamIdleTimeout) { receiveBody(MAX_ERROR_BODY_BYTES) }
+                ?: Body.Broken("no whole error body for $streamIdleTimeout")
         return when {
-            isRefusal -> RunResult.RefusedByUpstream(retryAfterMs(response))
-            status.value in 400..499 && attempt.nextOffset == 0L -> {
-                val body = response.readBody(MAX_ERROR_BODY_BYTES)
-                if (body == null) {
-                    RunResult.Broken("error body over $MAX_ERROR_BODY_BYTES bytes")
-                } else {
-                    attempt.sendStarted(response)
-                    if (body.isNotEmpty()) attempt.sendChunk(body)
-                    RunResult.Complete
-                }
+            body is Body.Broken -> RunResult.Broken(body.reason)
+            isRefusal -> RunResult.RefusedByUpstream(head.retryAfterMs())
+            else -> {
+                attempt.sendStarted(head)
+                val bytes = (body as Body.Whole).bytes
+                if (bytes.isNotEmpty()) attempt.sendChunk(bytes)
+                RunResult.Complete
             }
-            else -> RunResult.Broken("the upstream answered ${status.value} instead of an event stream")
         }
     }
 
-    private fun HttpRequestBuilder.prepare(
-        submit: Message.Submit,
-        excludedHeaders: Set<String>,
-    ) {
-        method = HttpMethod.parse(submit.method)
-        url.takeFrom(baseUrl)
-        // Path and query are set together, because parsing the query would reorder repeated parameters.
-        url.encodedPath = url.encodedPath.removeSuffix("/") + submit.path
-        submit.headers
-            .forUpstream()
-            .filter { it.name.lowercase() !in excludedHeaders }
-            .forEach { header(it.name, it.value) }
-        headers[REQUEST_ID_HEADER] = submit.requestId.value
-        if (submit.body.isNotEmpty()) setBody(submit.body)
+    private suspend fun PlainHttpClient.PlainExchange.receiveBody(maxBytes: Int): Body {
+        val bytes = ByteArrayOutputStream()
+        while (bytes.size() <= maxBytes) {
+            when (val part = receive()) {
+                is PlainEvent.BodyChunk -> bytes.write(part.bytes)
+                PlainEvent.End -> return Body.Whole(bytes.toByteArray())
+                is PlainEvent.Broken -> return Body.Broken(part.reason)
+                is PlainEvent.Head, is PlainEvent.NotSent -> return Body.Broken("no body")
+            }
+        }
+        return Body.Broken("body over $maxBytes bytes")
     }
 }
 
+/** A body that is kept in memory, or why there is none. */
+private sealed interface Body {
+    class Whole(
+        val bytes: ByteArray,
+    ) : Body
+
+    class Broken(
+        val reason: String,
+    ) : Body
+}
+
+private fun Attempt.streamHeaders(): List<Header> =
+    buildList {
+        addAll(submit.headers.filter { it.name.lowercase() !in HEADERS_NOT_FORWARDED_FOR_STREAMS })
+        add(Header(HttpHeaders.Accept, ContentType.Text.EventStream.toString()))
+        add(Header(HttpHeaders.CacheControl, "no-store"))
+        if (nextOffset > 0) add(Header("Last-Event-ID", (nextOffset - 1).toString()))
+    }
+
+private fun PlainEvent.Head.startsEventStream() =
+    status == HttpStatusCode.OK.value &&
+        header(HttpHeaders.ContentType)?.startsWith(ContentType.Text.EventStream.toString(), ignoreCase = true) == true
+
 /** Forwards [event] of a plain response. Returns the run's result if the event is the last or the link is closed. */
 private suspend fun Attempt.relay(event: PlainEvent): RunResult? =
     when (event) {
@@ -213,17 +190,16 @@
         is PlainEvent.Broken -> RunResult.Broken(event.reason)
         PlainEvent.End -> RunResult.Complete
         is PlainEvent.Head -> {
-            sendStarted(event.status, event.headers.forCaller())
+            sendStarted(event)
             null
         }
         is PlainEvent.BodyChunk -> if (!sendChunk(event.bytes) && !mustRunToCompletion) RunResult.Stopped else null
     }
 
-/** Forwards [event]; null is an early end of the stream. Returns the run's result if the run ends with the event. */
-private suspend fun Attempt.relay(event: ServerSentEvent?): RunResult? {
-    val data = event?.data
+/** Forwards [event]. Returns the run's result if the run ends with the event. */
+private suspend fun Attempt.relay(event: ServerSentEvent): RunResult? {
+    val data = event.data
     return when {
-        event == null -> RunResult.Broken("the event stream ended early")
         data == null -> RunResult.Broken("an event without data")
         data == DONE -> RunResult.Complete
         event.id?.toLongOrNull() != nextOffset -> RunResult.Broken("event id ${event.id} instead of $nextOffset")
@@ -234,29 +210,20 @@
     }
 }
 
-private suspend fun Attempt.sendStarted(response: HttpResponse) =
-    sendStarted(response.status.value, response.headers.toHeaderList().forCaller())
-
-private suspend fun Attempt.sendStarted(
-    status: Int,
-    headers: List<Header>,
-) {
+private suspend fun Attempt.sendStarted(head: PlainEvent.Head) {
     if (startedSent) return
     startedSent = true
-    session.link.send(Message.Started(submit.requestId, submit.attempt, status, headers))
+    session.link.send(Message.Started(submit.requestId, submit.attempt, head.status, head.headers.forCaller()))
 }
 
-private fun retryAfterMs(response: HttpResponse) =
-    (response.headers["Retry-After"]?.toLongOrNull() ?: 1).coerceIn(0, 3600) * 1000
+private fun PlainEvent.Head.retryAfterMs() =
+    (header(HttpHeaders.RetryAfter)?.toLongOrNull() ?: 1).coerceIn(0, 3600) * 1000
 
 private suspend fun mapExceptions(run: suspend () -> RunResult): RunResult =
     try {
         run()
     } catch (e: CancellationException) {
         throw e
-    } catch (e: ConnectException) {
-        // Thrown only while the connection is being established, so the upstream has received no byte of the request.
-        RunResult.NotSent(e.message ?: "connection refused")
     } catch (e: Exception) {
         RunResult.Broken(e.message ?: e::class.simpleName ?: "failed")
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
@@ -140,14 +140,17 @@
         }
     }
 
-    /** Heads in a body may be quoted, unless its type has no place for them; heads in a head never are. */
+    /**
+     * Heads in a body may be quoted, unless its type has no place for them; heads in a head never are. A refusal that
+     * quotes one proves nothing either.
+     */
     private fun headProof(): HeadProof {
         val sent = request
         val head = response
         return HeadProof(
             sent?.idHeader,
             isOwnId = { (it == sent?.requestId || it in earlierIds) && sent?.body?.contains(it) != true },
-            isAnonymousProof = head == null || head.hasBodyWithoutQuotes(),
+            isAnonymousProof = head == null || isRefusal || head.hasBodyWithoutQuotes(),
         )
     }
 
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/agent/AgentLoopTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/agent/AgentLoopTest.kt
@@ -71,7 +71,8 @@
     return left
 }
 
-private fun entry() =
+/** The peer of a link from an entry. */
+internal fun entry() =
     Message.Hello(
         version = 1,
         InstanceId("entry-1"),
