Let an id that an upstream echoes prove another response inside a body

What entries saw: the body of a plain response of type text was continued with the head and body of a second response that stated the request's id.

Cause: the agents' client named no request id to the connection, because upstreams need not echo it, so only the content type could prove a head.

Change: OutgoingRequest.mayOmitId: the id counts as proof where it is stated, and is not required. A text body that ends with its connection and is followed by a response without an id remains unprovable.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/PlainHttpClient.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/PlainHttpClient.kt
@@ -81,9 +81,17 @@
         val fields = newHeaders()
         headers.forUpstream().forEach { fields.add(it.name, it.value) }
         fields[REQUEST_ID_HEADER] = submit.requestId.value
-        val body = Unpooled.wrappedBuffer(submit.body)
-        val method = HttpMethod.valueOf(submit.method)
-        return PlainExchange(OutgoingRequest(method, uri(submit.path), fields, body), isRefusal)
+        val request =
+            OutgoingRequest(
+                HttpMethod.valueOf(submit.method),
+                uri(submit.path),
+                fields,
+                Unpooled.wrappedBuffer(submit.body),
+                submit.requestId.value,
+                REQUEST_ID_HEADER,
+                mayOmitId = true,
+            )
+        return PlainExchange(request, isRefusal)
     }
 
     /** Gets [path]; the caller must close the returned exchange. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
@@ -125,7 +125,7 @@
 
     private fun onHead(head: HttpResponse) {
         val sent = request ?: return
-        val problem = head.headProblem(sent.idHeader)
+        val problem = head.headProblem(sent.idHeader.takeUnless { sent.mayOmitId })
         val isInformational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
         when {
             problem != null -> fail("not the head of one response: $problem")
@@ -254,10 +254,10 @@
 
     /** Whether [head] states the id of this request; true for a request without an id. */
     private fun OutgoingRequest.isEchoedBy(head: HttpResponse) =
-        requestId == null || head.headers()[idHeader] == requestId
+        requiredId == null || head.headers()[idHeader] == requiredId
 
     private fun OutgoingRequest.acceptsResponse(head: HttpResponse): Boolean {
-        val expected = requestId ?: return true
+        val expected = requiredId ?: return true
         val echoed = head.headers()[idHeader]
         if (echoed != null) return echoed == expected
         return head.status().codeClass() != HttpStatusClass.SUCCESS
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
@@ -73,8 +73,9 @@
 internal const val MAX_BUFFERED_BODY_BYTES = 8 * 1024 * 1024
 
 /**
- * A request to send. If [requestId] is set, the server must echo it in the response header [idHeader]. On a new
- * connection it is sent only if [maySend] returns true once that is open: a paused process may find it open long after.
+ * A request to send. If [requestId] is set, the server must echo it in the response header [idHeader], unless
+ * [mayOmitId]; a head that states it inside the response is then another response all the same. On a new connection it
+ * is sent only if [maySend] returns true once that is open: a paused process may find it open long after.
  */
 internal class OutgoingRequest(
     val method: HttpMethod,
@@ -83,8 +84,12 @@
     val body: ByteBuf = Unpooled.EMPTY_BUFFER,
     val requestId: String? = null,
     val idHeader: String? = null,
+    val mayOmitId: Boolean = false,
     val maySend: () -> Boolean = { true },
-)
+) {
+    /** The id that the response has to state, or null. */
+    val requiredId: String? get() = requestId.takeUnless { mayOmitId }
+}
 
 /**
  * Opens connections, and pools them for reuse if [reuseConnections] is set. An attempt to connect fails after
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/agent/SplicedUpstreamTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/agent/SplicedUpstreamTest.kt
@@ -93,7 +93,7 @@
         val count = System.getProperty("splice.count")?.toInt() ?: 600
         val seed = System.getProperty("splice.seed")?.toInt() ?: 1
 
-        listOf(RequestKind.CHAT).forEach { kind ->
+        RequestKind.entries.forEach { kind ->
             test(
                 "a response that its upstream breaks off and continues with another one is not completed by it: $kind",
             ) {
