--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
@@ -133,7 +133,7 @@
 
     private fun onHead(head: HttpResponse) {
         val sent = request ?: return
-        val problem = head.headProblem(sent.idHeader)
+        val problem = head.headProblem(sent.idHeader.takeUnless { sent.mayOmitId })
         val isInformational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
         when {
             problem != null -> {
@@ -155,14 +155,17 @@
         }
     }
 
-    /** Heads in a body may be quoted, unless its type has no place for them; heads in a head never are. */
+    /**
+     * Heads in a body may be quoted, unless its type has no place for them; heads in a head never are. A refusal that
+     * quotes one proves nothing either.
+     */
     private fun headProof(): HeadProof {
         val sent = request
         val head = response
         return HeadProof(
             sent?.idHeader,
             isOwnId = { (it == sent?.requestId || it in earlierIds) && sent?.body?.contains(it) != true },
-            isAnonymousProof = head == null || head.hasBodyWithoutQuotes(),
+            isAnonymousProof = head == null || isRefusal || head.hasBodyWithoutQuotes(),
         )
     }
 
@@ -268,10 +271,10 @@
 
     /** Whether [head] states the id of this request; true for a request without an id. */
     private fun OutgoingRequest.isEchoedBy(head: HttpResponse) =
-        requestId == null || head.headers()[idHeader] == requestId
+        requiredId == null || head.headers()[idHeader] == requiredId
 
     private fun OutgoingRequest.acceptsResponse(head: HttpResponse): Boolean {
-        val expected = requestId ?: return true
+        val expected = requiredId ?: return true
         val echoed = head.headers()[idHeader]
         if (echoed != null) return echoed == expected
         return head.status().codeClass() != HttpStatusClass.SUCCESS
