Count what streams keep for their callers in the byte budget

Callers that read slowly from engines that send without end each kept up to the write buffer's mark, one read and an unfinished event of up to 1 MiB, outside any sum. Cause: ByteBudget counted bodies and whole responses only. A stream that began behind an unread response on the same connection also had no back-pressure, as its caller's write buffer was full before it began and no change was reported.

StreamShare counts the chunks that are not sent at once and the unfinished event. Over the limit only streams whose callers have read all go on, over half of the reserve none; the engines wait. A stream is ended for memory only if unfinished events hold a quarter of the budget and more, where waiting brings nothing back. EventFramer gives the memory of a large event back after it.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallerConnection.kt
@@ -13,7 +13,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpResponse
-import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.HttpContent
@@ -247,9 +246,10 @@
         channel.write(response, channel.voidPromise())
     }
 
-    override fun writeBody(chunk: ByteBuf) {
-        channel.writeAndFlush(DefaultHttpContent(chunk), channel.voidPromise())
-    }
+    override fun writeBody(
+        chunk: ByteBuf,
+        memory: StreamShare,
+    ) = memory.write(channel, chunk)
 
     override fun end() {
         finishResponse(LastHttpContent.EMPTY_LAST_CONTENT)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/EventFramer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/EventFramer.kt
@@ -17,8 +17,11 @@
     var lastEventId: String? = null
         private set
 
+    /** Length of the unfinished event. */
+    val partialBytes: Int get() = partial.readableBytes()
+
     /** Whether the unfinished event is larger than any event may be. */
-    val isOversized: Boolean get() = partial.readableBytes() > MAX_EVENT_BYTES
+    val isOversized: Boolean get() = partialBytes > MAX_EVENT_BYTES
 
     /** Adds [piece], whose ownership stays with the caller; returns the events that are now complete, or null. */
     fun add(piece: ByteBuf): ByteBuf? {
@@ -28,6 +31,7 @@
         if (end < 0) return null
         val whole = partial.readBytes(end - partial.readerIndex())
         partial.discardReadBytes()
+        shrink()
         recordLastEventId(whole)
         return whole
     }
@@ -35,6 +39,12 @@
     /** Drops the unfinished event. */
     fun dropPartial() {
         partial.clear()
+        shrink()
+    }
+
+    /** Without it a stream keeps the memory of its largest event until its end. */
+    private fun shrink() {
+        if (partial.capacity() > MAX_IDLE_CAPACITY_BYTES) partial.capacity(partialBytes)
     }
 
     private fun recordLastEventId(events: ByteBuf) {
@@ -47,6 +57,7 @@
 
     private companion object {
         const val MAX_EVENT_BYTES = 1024 * 1024
+        const val MAX_IDLE_CAPACITY_BYTES = 16 * 1024
         const val ID_FIELD = "id:"
     }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
@@ -10,9 +10,12 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.teaselspring.daemon.http.BodyFraming
 
-/** A stream that is forwarded to [writer], possibly from several instances in turn. */
+/**
+ * A stream that is forwarded to [writer], possibly from several instances in turn. [memory] counts what is kept of it.
+ */
 internal class ForwardedStream(
     private val writer: ResponseWriter,
+    val memory: StreamShare,
 ) {
     private var framer: EventFramer? = null
     private var isEventStream = true
@@ -67,28 +70,33 @@
         isResumable: Boolean,
     ) {
         hasBegun = true
+        memory.open()
         isEventStream = response.headers.statesEvents()
         if (isResumable && isEventStream) framer = EventFramer(boundaries)
         writer.writeHead(response.status, response.headers)
     }
 
     /**
-     * Forwards [chunk], which arrived at [nowMs]; the caller keeps its ownership. Returns false if an event has become
-     * too large, so that the stream has to end.
+     * Forwards [chunk], which arrived at [nowMs]; the caller keeps its ownership. Returns why the stream has to end:
+     * an event has become too large; or null.
      */
     fun forward(
         chunk: ByteBuf,
         nowMs: Long,
-    ): Boolean {
+    ): String? {
         if (firstEventAtMs == null) firstEventAtMs = nowMs
         val framer = framer
         if (framer == null) {
             boundaries.add(chunk)
-            writer.writeBody(chunk.retain())
-        } else {
-            framer.add(chunk)?.let { writer.writeBody(it) }
+            writer.writeBody(chunk.retain(), memory)
+            return null
+        }
+        framer.add(chunk)?.let { writer.writeBody(it, memory) }
+        return when {
+            framer.isOversized -> "event too large"
+            !memory.keepPartial(framer.partialBytes) -> "no memory for an unfinished event"
+            else -> null
         }
-        return framer?.isOversized != true
     }
 
     /** The response has broken off: drops the part of an event that the next one sends again in whole. */
@@ -96,6 +104,13 @@
         eventsOfEarlierResponses = completeEvents
         framer?.dropPartial()
         boundaries.dropPartial()
+        memory.keepPartial(0)
+    }
+
+    /** The request has ended. */
+    fun close() {
+        dropPartial()
+        memory.close()
     }
 
     /** Whether the body is a stream of events, which is also assumed without a type. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/IncomingRequest.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/IncomingRequest.kt
@@ -35,8 +35,11 @@
         headers: HttpHeaders,
     )
 
-    /** Writes a chunk of a streamed body; takes ownership of [chunk]. */
-    fun writeBody(chunk: ByteBuf)
+    /** Writes a chunk of a streamed body; takes ownership of [chunk], which [memory] counts until it is sent. */
+    fun writeBody(
+        chunk: ByteBuf,
+        memory: StreamShare,
+    )
 
     /** Completes a streamed response. */
     fun end()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -110,9 +110,9 @@
         buffered?.release()
     }
 
-    fun setReading(isWritable: Boolean) {
+    fun setReading(isWanted: Boolean) {
         // Backpressure applies to streams only: a response that is buffered whole does not depend on the caller.
-        if (isStreaming && !isFinished) exchange?.setReading(isWritable)
+        if (isStreaming && !isFinished) exchange?.setReading(isWanted)
     }
 
     override fun notSent(reason: String) {
@@ -150,6 +150,7 @@
             }
             isStreaming = true
             execution.streamStarted(checkNotNull(buffered))
+            setReading(execution.stream.memory.isReading)
         }
     }
 
@@ -159,7 +160,7 @@
         if (isPrefilling) finishPrefill()
         if (!isNotRun()) recordUsage()
         if (isStreaming) {
-            if (!execution.streamChunk(piece)) exchange?.fail("event too large")
+            execution.streamChunk(piece)?.let { exchange?.fail(it) }
         } else {
             val hasMemory = buffered?.add(piece)
             if (hasMemory == false) {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -40,7 +40,7 @@
     private var attempt: InstanceAttempt? = null
 
     /** The stream that the caller receives, from all attempts. */
-    val stream = ForwardedStream(writer)
+    val stream = ForwardedStream(writer, StreamShare(gateway.memory) { attempt?.setReading(it) })
     private var isFinished = false
     private var queueId: Long? = null
 
@@ -233,12 +233,12 @@
         stream.begin(response, authorised.route.isResumable)
     }
 
-    /** Forwards [chunk] of the stream; the attempt keeps its ownership. Returns false if an event is too large. */
-    fun streamChunk(chunk: ByteBuf): Boolean {
+    /** Forwards [chunk] of the stream; the attempt keeps its ownership. Returns why it has to end, or null. */
+    fun streamChunk(chunk: ByteBuf): String? {
         val hadEvents = stream.hasNewEvents
-        val isAccepted = stream.forward(chunk, gateway.nowMs())
+        val problem = stream.forward(chunk, gateway.nowMs())
         if (!hadEvents && stream.hasNewEvents) gateway.quarantine.recordResponse(sharedParts)
-        return isAccepted
+        return problem
     }
 
     /** Completes the response after the instance ended the stream; returns false if the stream was broken off. */
@@ -286,7 +286,7 @@
     }
 
     override fun writabilityChanged(isWritable: Boolean) {
-        attempt?.setReading(isWritable)
+        stream.memory.writabilityChanged(isWritable)
     }
 
     /**
@@ -335,7 +335,7 @@
             gateway.metrics.streamEnded(authorised.route.name, outcome, (gateway.nowMs() - it).milliseconds)
         }
         log("call_ended", reason, outcome)
-        stream.dropPartial()
+        stream.close()
         request.release()
     }
 
