--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
@@ -10,9 +10,13 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.teaselspring.daemon.http.BodyFraming
 
-/** A stream that is forwarded to [writer], possibly from several instances in turn; [onBegin] precedes its head. */
+/**
+ * A stream that is forwarded to [writer], possibly from several instances in turn; [onBegin] precedes its head. [memory]
+ * counts what is kept of it.
+ */
 internal class ForwardedStream(
     private val writer: ResponseWriter,
+    val memory: StreamShare,
     private val onBegin: () -> Unit,
 ) {
     private var unsentHead: BufferedResponse? = null
@@ -70,6 +74,7 @@
     ) {
         if (hasBegun) return
         unsentHead = response
+        memory.open()
         isEventStream = response.headers.statesEvents()
         framer = if (isResumable && isEventStream) EventFramer(boundaries) else null
     }
@@ -82,7 +87,7 @@
 
     private fun send(chunk: ByteBuf) {
         sendHead()
-        writer.writeBody(chunk)
+        writer.writeBody(chunk, memory)
     }
 
     private fun sendHead() {
@@ -94,22 +99,26 @@
     }
 
     /**
-     * Forwards [chunk], which arrived at [nowMs]; the caller keeps its ownership. Returns false if an event has become
-     * too large, so that the stream has to end.
+     * Forwards [chunk], which arrived at [nowMs]; the caller keeps its ownership. Returns why the stream has to end:
+     * an event has become too large; or null.
      */
     fun forward(
         chunk: ByteBuf,
         nowMs: Long,
-    ): Boolean {
+    ): String? {
         if (firstEventAtMs == null) firstEventAtMs = nowMs
         val framer = framer
         if (framer == null) {
             boundaries.add(chunk)
             send(chunk.retain())
-        } else {
-            framer.add(chunk)?.let(::send)
+            return null
+        }
+        framer.add(chunk)?.let(::send)
+        return when {
+            framer.isOversized -> "event too large"
+            !memory.keepPartial(framer.partialBytes) -> "no memory for an unfinished event"
+            else -> null
         }
-        return framer?.isOversized != true
     }
 
     /** The response has broken off: drops the part of an event that the next one sends again in whole. */
@@ -117,6 +126,13 @@
         eventsOfEarlierResponses = completeEvents
         framer?.dropPartial()
         boundaries.dropPartial()
+        memory.keepPartial(0)
+    }
+
+    /** The request has ended. */
+    fun close() {
+        dropPartial()
+        memory.close()
     }
 
     /** Whether the body is a stream of events, which is also assumed without a type. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -41,7 +41,7 @@
 
     /** The stream that the caller receives, from all attempts. */
     val stream =
-        ForwardedStream(writer) {
+        ForwardedStream(writer, StreamShare(gateway.memory) { attempt?.setReading(it) }) {
             gateway.metrics.responded(authorised.route.name, (gateway.nowMs() - arrivedMs).milliseconds)
         }
     private var isFinished = false
@@ -231,12 +231,12 @@
     /** An instance has sent the head of a stream; the caller gets the stream as it arrives. */
     fun streamStarted(response: BufferedResponse) = stream.begin(response, authorised.route.isResumable)
 
-    /** Forwards [chunk] of the stream; the attempt keeps its ownership. Returns false if an event is too large. */
-    fun streamChunk(chunk: ByteBuf): Boolean {
+    /** Forwards [chunk] of the stream; the attempt keeps its ownership. Returns why it has to end, or null. */
+    fun streamChunk(chunk: ByteBuf): String? {
         val hadEvents = stream.hasNewEvents
-        val isAccepted = stream.forward(chunk, gateway.nowMs())
+        val problem = stream.forward(chunk, gateway.nowMs())
         if (!hadEvents && stream.hasNewEvents) gateway.quarantine.recordResponse(sharedParts)
-        return isAccepted
+        return problem
     }
 
     /** Completes the response after the instance ended the stream; returns false if the stream was broken off. */
@@ -284,7 +284,7 @@
     }
 
     override fun writabilityChanged(isWritable: Boolean) {
-        attempt?.setReading(isWritable)
+        stream.memory.writabilityChanged(isWritable)
     }
 
     /**
@@ -333,7 +333,7 @@
             gateway.metrics.streamEnded(authorised.route.name, outcome, (gateway.nowMs() - it).milliseconds)
         }
         log("call_ended", reason, outcome)
-        stream.dropPartial()
+        stream.close()
         request.release()
     }
 
