Decide what may be another response by lines, and keep suspicious ones

What callers could see: a second response that came in two parts more than 50 ms apart, that was broken off as well, or whose head had a byte 0x85 or a folded line, still completed the first one; with the id in the request the check was off. A late copy that quoted a response cost the next one, a text of status lines occupied the event loop for seconds, and a quoted head was held back as long as it grew. The copy of the store's response at an unchanged version, or of its refusal of a write, was taken for the next one.

Cause: bytes held back were released and forgotten, whatever they were; a quote was told by the id alone; each candidate read the rest of the packet; responses without an id had no check of what follows them.

Change: the start of a status line is never released into a body that cannot quote one. A quote is a status line that stands in the request. Heads are matched line by line, from one deadline a place. A response to a call without an id is broken if bytes follow it, and the connection is closed after an error.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HttpCalls.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HttpCalls.kt
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
 import io.teaselspring.daemon.http.Exchange
 import io.teaselspring.daemon.http.ExchangeListener
 import io.teaselspring.daemon.http.HttpConnections
@@ -119,6 +120,8 @@
     override fun head(response: HttpResponse) {
         status = response.status().code()
         headers = response.headers()
+        // Without an id, a copy of a refusal would be taken for the response to the next call on the connection.
+        if (response.status().codeClass() != HttpStatusClass.SUCCESS) exchange?.expectRefusal()
     }
 
     override fun body(piece: ByteBuf) {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/EmbeddedHead.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/EmbeddedHead.kt
@@ -20,51 +20,66 @@
 
 /**
  * What proves that a head inside a response is not quoted: its header [idHeader] states an id for which [isOwnId] is
- * true. With [isAnonymousProof] a head without such an id proves it too, because bodies of this kind don't quote heads.
+ * true, and its first line is not [isInRequest]. With [isAnonymousProof] a head without such an id proves it too,
+ * because bodies of this kind don't quote heads.
  */
 internal class HeadProof(
     val idHeader: String?,
     val isOwnId: (String) -> Boolean,
+    val isInRequest: (statusLine: String) -> Boolean,
     val isAnonymousProof: Boolean,
 )
 
-/** Matches the bytes of [bytes] from [start] on with the head of a response. */
+/** Matches the bytes of [bytes] from [start] on with the head of a response, line by line. */
 internal fun matchHead(
     bytes: ByteBuf,
     start: Int,
     proof: HeadProof,
-): HeadMatch =
-    when {
-        !mayBeStatusLine(bytes, start) -> HeadMatch.NONE
-        start + STATUS_LINE_START.length > bytes.writerIndex() -> HeadMatch.PARTIAL
-        else -> matchLines(bytes.toString(start, bytes.writerIndex() - start, Charsets.ISO_8859_1), proof)
+): HeadMatch {
+    if (!mayBeStatusLine(bytes, start)) return HeadMatch.NONE
+    var match: HeadMatch? = null
+    var statusLine: String? = null
+    var headers = 0
+    var at = start
+    while (match == null) {
+        val lineEnd = bytes.indexOf(at, bytes.writerIndex(), LINE_FEED)
+        val line = bytes.text(at, if (lineEnd < 0) bytes.writerIndex() else lineEnd)
+        val first = statusLine
+        when {
+            lineEnd < 0 -> match = matchUnfinished(line, isFirst = first == null, bytes.writerIndex() - start)
+            first == null -> statusLine = line.removeSuffix("\r")
+            else -> match = matchLine(line.removeSuffix("\r"), first, headers++, proof)
+        }
+        at = lineEnd + 1
     }
+    return match
+}
 
-private fun matchLines(
-    text: String,
-    proof: HeadProof,
+/** What the start of a line shows, of which too little has arrived; the head has [length] bytes so far. */
+private fun matchUnfinished(
+    line: String,
+    isFirst: Boolean,
+    length: Int,
 ): HeadMatch {
-    val lines = text.split('\n')
-    // The first line is that of the status, the last one has not ended yet.
-    lines.drop(1).dropLast(1).forEachIndexed { headersBefore, line ->
-        matchLine(line.removeSuffix("\r"), headersBefore, proof)?.let { return it }
-    }
-    val mayContinue = text.length <= MAX_HEAD_BYTES && (lines.size == 1 || HEADER_START.matches(lines.last()))
+    val mayContinue = length <= MAX_HEAD_BYTES && (isFirst || HEADER_START.matches(line))
     return if (mayContinue) HeadMatch.PARTIAL else HeadMatch.STATUS_LINE
 }
 
-/** What [line] after the line of a status and [headersBefore] headers shows, or null if the next one decides. */
+/** What [line] after [statusLine] and [headersBefore] headers shows, or null if the next one decides. */
 private fun matchLine(
     line: String,
+    statusLine: String,
     headersBefore: Int,
     proof: HeadProof,
 ): HeadMatch? {
     val name = line.substringBefore(':').trim()
+    val isFolded = headersBefore > 0 && (line.startsWith(' ') || line.startsWith('\t')) && line.isNotBlank()
     return when {
         line.isEmpty() -> if (headersBefore > 0 && proof.isAnonymousProof) HeadMatch.HEAD else HeadMatch.STATUS_LINE
-        !HEADER_LINE.matches(line) || name.lowercase() in EVENT_FIELDS -> HeadMatch.STATUS_LINE
+        isFolded -> null
+        !HEADER_LINE.matches(line) || name in EVENT_FIELDS -> HeadMatch.STATUS_LINE
         name.equals(proof.idHeader, ignoreCase = true) && proof.isOwnId(line.substringAfter(':').trim()) ->
-            HeadMatch.HEAD
+            if (proof.isInRequest(statusLine)) HeadMatch.STATUS_LINE else HeadMatch.HEAD
         else -> null
     }
 }
@@ -82,11 +97,20 @@
     return true
 }
 
+private fun ByteBuf.text(
+    start: Int,
+    end: Int,
+) = toString(start, minOf(end - start, MAX_HEAD_BYTES), Charsets.ISO_8859_1)
+
 private const val DIGIT = '#'
 private const val STATUS_LINE_START = "HTTP/1.# ###"
+
+/** As many bytes as show that a line is one of a status. */
+internal const val STATUS_LINE_START_BYTES = STATUS_LINE_START.length
+private const val LINE_FEED = '\n'.code.toByte()
 private const val TOKEN = "[!#$%&'*+.^_`|~0-9A-Za-z-]+"
-private val HEADER_LINE = Regex("$TOKEN[ \t]*:.*")
-private val HEADER_START = Regex("\r?|$TOKEN([ \t]*(:.*)?)?")
+private val HEADER_LINE = Regex("$TOKEN[ \t]*:[^\n]*")
+private val HEADER_START = Regex("\r?|[ \t][^\n]*|$TOKEN([ \t]*(:[^\n]*)?)?")
 
 /** Fields of server-sent events look like headers: a quoted status line in a stream is followed by one. */
 private val EVENT_FIELDS = setOf("data", "event", "id", "retry")
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/ResponseDecoder.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/ResponseDecoder.kt
@@ -41,6 +41,7 @@
 ) : HttpResponseDecoder(decoderConfig) {
     /** Bytes that may be the start of another response, of which too few have arrived. */
     private val held = Unpooled.buffer(0)
+    private var heldCandidates = 0
     private var isAtStart = true
     private var isJoined = false
 
@@ -53,6 +54,7 @@
         message: Any,
     ) {
         if (message !is ByteBuf) return super.channelRead(ctx, message)
+        val isHolding = held.isReadable
         val bytes =
             if (held.isReadable) {
                 Unpooled.wrappedBuffer(held.readBytes(held.readableBytes()), message).also { held.clear() }
@@ -60,23 +62,29 @@
                 message
             }
         try {
-            decodeDecided(ctx, bytes)
+            decodeUpToCandidates(ctx, bytes, isHolding)
         } finally {
             bytes.release()
         }
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
+        if (held.isReadable && isHeldProof()) refuse(ctx)
         decodeHeld(ctx)
         super.channelInactive(ctx)
     }
 
-    /** Decodes [bytes] up to where another response may begin inside the current one. */
-    private fun decodeDecided(
+    /**
+     * Decodes [bytes] up to where another response may begin inside the current one, and keeps the rest. With
+     * [isHolding] they begin with such a place, of which too few bytes had arrived before.
+     */
+    private fun decodeUpToCandidates(
         ctx: ChannelHandlerContext,
         bytes: ByteBuf,
+        isHolding: Boolean,
     ) {
-        var searchFrom = bytes.readerIndex()
+        val start = bytes.readerIndex()
+        var searchFrom = start
         while (bytes.isReadable && !isJoined) {
             val candidate = nextCandidate(bytes, searchFrom)
             decodeNext(ctx, bytes, candidate - bytes.readerIndex())
@@ -85,11 +93,8 @@
             when (match) {
                 HeadMatch.NONE -> Unit
                 HeadMatch.STATUS_LINE -> hasStatusLineInside = true
-                HeadMatch.PARTIAL -> return hold(ctx, bytes)
-                HeadMatch.HEAD -> {
-                    isJoined = true
-                    ctx.fireExceptionCaught(JoinedResponseException())
-                }
+                HeadMatch.PARTIAL -> return hold(ctx, bytes, isNew = !isHolding || bytes.readerIndex() > start)
+                HeadMatch.HEAD -> refuse(ctx)
             }
             searchFrom = candidate + 1
         }
@@ -118,22 +123,40 @@
         if (count > 0) super.channelRead(ctx, bytes.readRetainedSlice(count))
     }
 
+    private fun refuse(ctx: ChannelHandlerContext) {
+        isJoined = true
+        ctx.fireExceptionCaught(JoinedResponseException())
+    }
+
+    /** Keeps [bytes] until more arrive; for [UNDECIDED_MS] if the body may end with them or quote a response. */
     private fun hold(
         ctx: ChannelHandlerContext,
         bytes: ByteBuf,
+        isNew: Boolean,
     ) {
         held.writeBytes(bytes)
-        val count = held.readableBytes()
-        val release = { if (!ctx.isRemoved && held.readableBytes() == count) decodeHeld(ctx) }
-        ctx.executor().schedule(release, UNDECIDED_MS, TimeUnit.MILLISECONDS)
+        if (!isNew) return
+        heldCandidates += 1
+        val candidate = heldCandidates
+        val onTimeout = { if (heldCandidates == candidate && !ctx.isRemoved && !isHeldProof()) decodeHeld(ctx) }
+        ctx.executor().schedule(onTimeout, UNDECIDED_MS, TimeUnit.MILLISECONDS)
     }
 
+    /** Whether the bytes held back are the line of a status where no body quotes one. */
+    private fun isHeldProof() = held.readableBytes() >= STATUS_LINE_START_BYTES && proof().isAnonymousProof
+
     /** Decodes what was held back, because no further bytes show that it begins another response. */
     private fun decodeHeld(ctx: ChannelHandlerContext) {
         if (!held.isReadable || isJoined) return
-        super.channelRead(ctx, held.readBytes(held.readableBytes()))
-        held.clear()
-        ctx.fireChannelReadComplete()
+        heldCandidates += 1
+        if (held.readableBytes() >= STATUS_LINE_START_BYTES) hasStatusLineInside = true
+        try {
+            super.channelRead(ctx, held.readBytes(held.readableBytes()))
+            held.clear()
+            ctx.fireChannelReadComplete()
+        } catch (e: Exception) {
+            ctx.fireExceptionCaught(e)
+        }
     }
 
     /** Whether a response may begin with the next byte. */
@@ -146,7 +169,10 @@
     ) {
         val before = buffer.readableBytes()
         super.decode(ctx, buffer, out)
-        if (buffer.readableBytes() < before) isAtStart = false
+        if (isAtStart && buffer.readableBytes() < before) {
+            isAtStart = false
+            hasStatusLineInside = false
+        }
         if (out.lastOrNull() is LastHttpContent) isAtStart = true
     }
 
