--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/LimitedArrivals.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/LimitedArrivals.kt
@@ -79,15 +79,6 @@
     }
 }
 
-internal fun EngineLimit.schedule(
-    loop: EventLoop,
-    fleet: List<PromptEngine>,
-) {
-    val limited = fleet.take(engines)
-    loop.at(fromMs) { limited.forEach { it.statedLimit = perSecond } }
-    loop.at(toMs) { limited.forEach { it.statedLimit = null } }
-}
-
 internal fun Callers.schedule(
     loop: EventLoop,
     stopped: MutableSet<Int>,
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenario.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenario.kt
@@ -6,34 +6,6 @@
 import io.teaselspring.core.InstanceId
 import io.teaselspring.experiment.EventLoop
 
-/** The first [count] engines crash at [atMs] and are back, empty, after [forMs]. */
-data class Crash(
-    val count: Int,
-    val atMs: Long,
-    val forMs: Long,
-)
-
-/** Requests with the part of [added] crash their engine, which is back, empty, after [forMs]. */
-data class CrashingPart(
-    val added: AddedPart,
-    val forMs: Long,
-)
-
-/** Crashes of engines at set times, those that requests cause, and a limit that engines state. */
-data class EngineFaults(
-    val timed: List<Crash> = emptyList(),
-    val byPart: CrashingPart? = null,
-    val limit: EngineLimit? = null,
-)
-
-/** The first [engines] engines state from [fromMs] to [toMs] that they take [perSecond] requests from all entries. */
-data class EngineLimit(
-    val engines: Int,
-    val perSecond: Double,
-    val fromMs: Long,
-    val toMs: Long,
-)
-
 /** The entry [entry] is stopped from [fromMs] to [toMs]; the next one gets its requests. It forgets the limits. */
 data class EntryStop(
     val entry: Int,
@@ -208,7 +180,6 @@
         }
     }
     faults.schedule(loop, fleet) { crashedAtMs += loop.nowMs }
-    faults.limit?.schedule(loop, fleet)
     callers.schedule(loop, stopped) {
         limited.forget(it)
         entryLimits.restart(it)
@@ -225,75 +196,6 @@
     )
 }
 
-private fun EngineFaults.schedule(
-    loop: EventLoop,
-    fleet: List<PromptEngine>,
-    onCrashedByRequest: () -> Unit,
-) {
-    timed.forEach { crash ->
-        loop.at(crash.atMs) { fleet.take(crash.count).forEach { it.crash() } }
-        loop.at(crash.atMs + crash.forMs) { fleet.take(crash.count).forEach { it.restart() } }
-    }
-    fleet.forEach { engine ->
-        engine.onCrashedByRequest = {
-            onCrashedByRequest()
-            val crash = engine.crashes
-            loop.after(checkNotNull(byPart).forMs * US_PER_MS) { if (engine.crashes == crash) engine.restart() }
-        }
-    }
-}
-
-/** Returns false if the engine did not accept the request. */
-private fun offer(
-    loop: EventLoop,
-    outcome: PromptOutcome,
-    engine: EntryInstanceView,
-    uncachedTokens: Long,
-    observer: AttemptObserver,
-    prefillDone: () -> Unit,
-): Boolean {
-    val request = outcome.request
-    if (engine.engine.isUp) outcome.sent(loop.nowMs)
-    val unsharedTokens = request.prompt.last().tokens
-    engine.requestStarted(unsharedTokens, uncachedTokens)
-    var isPrefilling = true
-
-    fun endPrefill() {
-        if (!isPrefilling) return
-        isPrefilling = false
-        engine.prefillEnded(uncachedTokens)
-    }
-
-    fun end() {
-        endPrefill()
-        engine.requestEnded(unsharedTokens)
-        prefillDone()
-    }
-    val engineRequest =
-        EngineRequest(
-            request.prompt,
-            request.outputTokens,
-            request.profile.priority,
-            request.arrivedMs + request.profile.deadlineMs,
-            crashesEngine = request.id < 0,
-            onLost = {
-                if (!engine.engine.isUp) observer.crashed(!isPrefilling)
-                end()
-            },
-        ) { isLast ->
-            outcome.event(loop.nowMs, isLast)
-            if (isPrefilling) {
-                observer.responded()
-                endPrefill()
-                prefillDone()
-            }
-            if (isLast) end()
-        }
-    val isAccepted = engine.engine.submit(engineRequest)
-    if (!isAccepted) end()
-    return isAccepted
-}
-
 private fun PromptScenario.figuresOf(
     policy: PromptPolicy,
     outcomes: List<PromptOutcome>,
