Let engines of the emulator leave and pause, and play both over the entries' decisions

Cause: no engine of the emulator said that it was leaving or wanted a pause, so only one entry over sockets showed what entries make of it.

Change: engines refuse with a pause of the rest of a given time, and say in the head of each response that they leave; they write it to the registry or not. EntryAttempts sends a refused request to another engine by chooseInstance and RetryBudget, and records what it hears in StatedAvailability, 5 ms after the engine has answered; the queue sees what a real entry's does. Four scenarios: a third pauses for 2 s, three times, and a release without rows, 8 and 34 engines. Baselines: the same policy without StatedAvailability, and without its slow return. StatedArrivals counts at the engine, from the moment of its answer.

--- a/experiments/src/main/kotlin/io/teaselspring/experiment/Main.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/Main.kt
@@ -13,6 +13,7 @@
 import com.github.ajalt.clikt.parameters.types.long
 import io.teaselspring.experiment.prompts.promptScenarios
 import io.teaselspring.experiment.prompts.report
+import io.teaselspring.experiment.prompts.statementScenarios
 
 private class Experiment : CliktCommand("experiment") {
     private val name by argument(help = "a scenario, or list")
@@ -22,7 +23,7 @@
     override fun run() {
         if (name == "list") {
             scenarios.forEach { echo("%-26s %s".format(it.name, it.description)) }
-            promptScenarios.forEach { echo("%-26s %s".format(it.name, it.description)) }
+            (promptScenarios + statementScenarios).forEach { echo("%-26s %s".format(it.name, it.description)) }
             echo("%-26s %s".format("scale", "time, state and message bytes of the decisions as the system grows"))
             return
         }
@@ -31,7 +32,7 @@
             echo(if (output == "json") scaleJson(seed, measurements) else scaleText(measurements))
             return
         }
-        val prompts = promptScenarios.firstOrNull { it.name == name }
+        val prompts = (promptScenarios + statementScenarios).firstOrNull { it.name == name }
         if (prompts != null) {
             echo(prompts.report(seed))
             return
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/EngineFaults.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/EngineFaults.kt
@@ -18,11 +18,12 @@
     val forMs: Long,
 )
 
-/** Crashes of engines at set times, those that requests cause, and a limit that engines state. */
+/** Crashes of engines at set times, those that requests cause, a limit that engines state, and what they want. */
 data class EngineFaults(
     val timed: List<Crash> = emptyList(),
     val byPart: CrashingPart? = null,
     val limit: EngineLimit? = null,
+    val statements: EngineStatements? = null,
 )
 
 /** The first [engines] engines state from [fromMs] to [toMs] that they take [perSecond] requests from all entries. */
@@ -43,6 +44,7 @@
         loop.at(crash.atMs + crash.forMs) { fleet.take(crash.count).forEach { it.restart() } }
     }
     limit?.schedule(loop, fleet)
+    statements?.schedule(loop, fleet)
     fleet.forEach { engine ->
         engine.onCrashedByRequest = {
             onCrashedByRequest()
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptEngine.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptEngine.kt
@@ -10,6 +10,8 @@
 import io.teaselspring.core.placement.PromptPart
 import io.teaselspring.core.placement.ReportedLoad
 import io.teaselspring.experiment.EventLoop
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Figures of an engine. Times are milliseconds. */
 data class EngineFigures(
@@ -69,6 +71,18 @@
     /** Requests a second that it takes from all entries together, as it states in its responses; null without limit. */
     var statedLimit: Double? = null
 
+    /** Whether it says in its responses that it is about to exit; it serves requests until then. */
+    var isLeaving = false
+
+    /** Whether its row in the registry says that it drains, as far as entries have read it. */
+    var isDraining = false
+
+    /** Until when it refuses all requests. */
+    var pausedUntilMs = 0L
+
+    /** The pause that it asks for in a refusal. */
+    val statedPause: Duration? get() = (pausedUntilMs - loop.nowMs).takeIf { it > 0 }?.milliseconds
+
     /** Called when a request has crashed the engine. */
     var onCrashedByRequest: () -> Unit = {}
 
@@ -100,6 +114,9 @@
         cache.clear()
         crashes += 1
         isUp = false
+        isLeaving = false
+        isDraining = false
+        pausedUntilMs = 0
         isStepping = false
         lost.forEach { it.request.onLost() }
     }
@@ -108,9 +125,9 @@
         isUp = true
     }
 
-    /** False if the engine is full or down. */
+    /** False if the engine is full, down or in a pause. */
     fun submit(request: EngineRequest): Boolean {
-        if (!isUp || waiting.size >= figures.queueLimit) return false
+        if (!isUp || statedPause != null || waiting.size >= figures.queueLimit) return false
         waiting += Running(request, remainingPrefill = 0, produced = 0, ownTokens = request.prompt.last().tokens)
         if (!isStepping) step()
         return true
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptPolicy.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptPolicy.kt
@@ -18,9 +18,13 @@
 import io.teaselspring.core.placement.QueuedRequest
 import io.teaselspring.core.placement.RequestQueue
 import io.teaselspring.core.placement.chooseInstance
+import io.teaselspring.core.registry.StatedAvailability
 import io.teaselspring.experiment.EventLoop
 import kotlin.random.Random
 
+/** Whether an engine that has [stated] something may get one more request beside [ownRequests] of the entry. */
+typealias Admission = (stated: StatedAvailability, ownRequests: Int, slots: Int, nowMs: Long) -> Boolean
+
 /** An engine as one entry sees it. */
 class EntryInstanceView(
     val engine: PromptEngine,
@@ -31,7 +35,25 @@
 
     /** What the entry knows of the limit that the engine states; null if entries ignore limits. */
     var limit: () -> InstanceLimit? = { null }
-    override val hasPermit get() = limit()?.hasPermit(loop.nowMs) ?: true
+    override val hasPermit get() = (limit()?.hasPermit(loop.nowMs) ?: true) && admitsRequest
+    private var process = engine.crashes
+
+    /** What the process that the entry knows has said in its responses. */
+    var stated = StatedAvailability()
+        get() {
+            if (process != engine.crashes) {
+                process = engine.crashes
+                field = StatedAvailability()
+            }
+            return field
+        }
+        private set
+
+    /** How the entry heeds [stated]. */
+    var admission: Admission = StatedAvailability::admits
+
+    /** Whether the engine may get one more request by what it has said and by its row in the registry. */
+    val admitsRequest get() = !engine.isDraining && admission(stated, load.ownRequests, slots, loop.nowMs)
     override val id: InstanceId get() = engine.id
     override val isEjected get() = !engine.isUp
     override var pendingPrefillTokens = 0L
@@ -79,11 +101,12 @@
 
 /**
  * A policy by its name. If entries [cooperate], they refuse requests with parts that crash engines, and keep the limits
- * that engines state.
+ * that engines state. By [admission] they heed that engines leave or want a pause.
  */
 class PromptPolicy(
     val name: String,
     val cooperate: Boolean = false,
+    val admission: Admission = { _, _, _, _ -> true },
     val router: (
         loop: EventLoop,
         engines: List<EntryInstanceView>,
@@ -124,7 +147,7 @@
 
     override fun changed() {
         val refused =
-            queue.dispatch(loop.nowMs, engines, groups) { start ->
+            queue.dispatch(loop.nowMs, engines.filter { it.admitsRequest }, groups) { start ->
                 val engine = engines.single { it.id == start.instance }
                 actions.send(requests.getValue(start.request.id), engine, engine.recordPrompt(start.request.parts))
             }
@@ -184,9 +207,11 @@
 fun queuePolicy(
     name: String = "teaselspring",
     policy: QueuePolicy = QueuePolicy(),
+    admission: Admission = StatedAvailability::admits,
 ) = PromptPolicy(
     name,
     cooperate = true,
+    admission,
 ) { loop, engines, entries, actions -> QueueRouter(loop, engines, policy, entries, actions) }
 
 /** The engine by the hash of the longest shared part, whatever its load. */
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenario.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenario.kt
@@ -94,9 +94,11 @@
     val outcomes: List<PromptOutcome>,
     val crashing: CrashingRequests,
     val quarantinedRequests: Int,
-    val limited: LimitedArrivals,
+    arrivals: EngineArrivals,
     val storeCalls: Int,
 ) {
+    val limited: LimitedArrivals = arrivals.limited
+    val statements: StatedArrivals = arrivals.stated
     val totalWorth: Double get() = worth.getValue(TOTAL)
 
     companion object {
@@ -104,6 +106,12 @@
     }
 }
 
+/** What reached engines that had stated a limit, or that they want no requests. */
+class EngineArrivals(
+    val limited: LimitedArrivals,
+    val stated: StatedArrivals,
+)
+
 /** What became of the requests with a part that crashes engines, and the times of the crashes. */
 class CrashingRequests(
     val outcomes: List<PromptOutcome>,
@@ -126,6 +134,7 @@
     val byRequest = (outcomes + crashing).associateBy { it.request.id }
     val routers = ArrayList<PromptRouter>()
     val limited = LimitedArrivals(loop)
+    val statements = StatedArrivals(loop, faults.statements)
     val stopped = HashSet<Int>()
 
     /** The entry that the balancer sends the request to: the next one after a stopped one. */
@@ -156,19 +165,20 @@
         outcome: PromptOutcome,
     ): Boolean = quarantines.refuses(entry, outcome.request).also { if (it) refuse(outcome) }
     repeat(entries) { number ->
+        val views = fleet.map { EntryInstanceView(it, loop) }
+        val results = AttemptResults({ routers[number].changed() }, ::refuse)
+        val observe = { request: PromptRequest, engine: EntryInstanceView ->
+            quarantines.observer(number, request, engine.id) +
+                limited.observer(number, engine) +
+                entryLimits.observer(number, engine)
+        }
+        val attempts = EntryAttempts(loop, number, entries, views, statements, observe, results)
         val send = { request: PromptRequest, engine: EntryInstanceView, uncached: Long ->
             val outcome = byRequest.getValue(request.id)
-            if (!refuseQuarantined(number, outcome)) {
-                val observer =
-                    quarantines.observer(number, request, engine.id) +
-                        limited.observer(number, engine) +
-                        entryLimits.observer(number, engine)
-                val isAccepted = offer(loop, outcome, engine, uncached, observer) { routers[number].changed() }
-                if (!isAccepted) refuse(outcome)
-            }
+            if (!refuseQuarantined(number, outcome)) attempts.start(outcome, engine, uncached)
         }
         val actions = EntryActions(send) { refuse(byRequest.getValue(it.id)) }
-        val views = fleet.map { EntryInstanceView(it, loop) }
+        views.forEach { it.admission = policy.admission }
         if (policy.cooperate) views.forEach { it.limit = { entryLimits.limit(number, it.id) } }
         routers += policy.router(loop, views, entries, actions)
     }
@@ -191,7 +201,7 @@
         fleet,
         CrashingRequests(crashing, crashedAtMs),
         quarantines.refused,
-        limited,
+        EngineArrivals(limited, statements),
         entryLimits.storeCalls,
     )
 }
@@ -202,7 +212,7 @@
     fleet: List<PromptEngine>,
     crashing: CrashingRequests,
     quarantinedRequests: Int,
-    limited: LimitedArrivals,
+    arrivals: EngineArrivals,
     storeCalls: Int,
 ): PromptFigures {
     fun worthOf(outcomes: List<PromptOutcome>): Double {
@@ -222,7 +232,7 @@
         outcomes,
         crashing,
         quarantinedRequests,
-        limited,
+        arrivals,
         storeCalls,
     )
 }
@@ -237,12 +247,13 @@
         val figures = policies.map { run(it, seed) }
         val columns = figures.first().worth.keys + listOf("worst 2 s", "refused", "read Mtok", "preempted")
         appendLine("scenario $name, seed $seed: share of the worth by class")
-        appendLine("%-16s".format("policy") + columns.joinToString("") { "%18s".format(it) })
+        appendLine("%-20s".format("policy") + columns.joinToString("") { "%18s".format(it) })
         for (one in figures) {
             val shares = (one.worth.values + one.worstSecondsWorth).joinToString("") { "%18.3f".format(it) }
             val readMillions = one.readTokens / TOKENS_PER_MILLION
-            appendLine("%-16s%s%18d%18.2f%18d".format(one.policy, shares, one.refused, readMillions, one.preempted))
+            appendLine("%-20s%s%18d%18.2f%18d".format(one.policy, shares, one.refused, readMillions, one.preempted))
         }
+        if (faults.statements != null) append(statementLines(figures))
     }
 
 private const val TOKENS_PER_MILLION = 1e6
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenarios.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenarios.kt
@@ -61,13 +61,15 @@
 )
 
 /** Requests a second of a site's three classes of streams. */
-private data class Rates(
+internal data class Rates(
     val long: Double,
     val middle: Double,
     val short: Double,
-)
+) {
+    operator fun times(factor: Double) = Rates(long * factor, middle * factor, short * factor)
+}
 
-private fun carriage(rates: Rates) =
+internal fun carriage(rates: Rates) =
     listOf(
         guides("guide", rates.long),
         questions("question", rates.middle, subjects = 56),
@@ -82,7 +84,7 @@
     )
 
 /** The association after it has grown to several times the engines and subjects. */
-private fun grownAssociation(rates: Rates) =
+internal fun grownAssociation(rates: Rates) =
     listOf(
         guides("dossier", rates.long, subjects = 357).copy(events = Size(20.0, 1.4, 79.8), eventGapMs = 1_000),
         questions("draft", rates.middle, subjects = 269).copy(events = Size(8.7, 1.4, 34.7), eventGapMs = 400),
@@ -102,7 +104,7 @@
 /** The bench goes on after the last burst, through the recovery from the day's end. */
 private const val HIGH_LOAD_MS = 52_000L
 
-private val carriageEngine = EngineFigures(memoryTokens = 647_156)
+internal val carriageEngine = EngineFigures(memoryTokens = 647_156)
 private val associationEngine = EngineFigures(memoryTokens = 604_279)
 
 /** The co-operative's fleet: fast prefill, few slots, and most of its requests urgent and short. */
