--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenario.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenario.kt
@@ -6,34 +6,6 @@
 import io.teaselspring.core.InstanceId
 import io.teaselspring.experiment.EventLoop
 
-/** The first [count] engines crash at [atMs] and are back, empty, after [forMs]. */
-data class Crash(
-    val count: Int,
-    val atMs: Long,
-    val forMs: Long,
-)
-
-/** Requests with the part of [added] crash their engine, which is back, empty, after [forMs]. */
-data class CrashingPart(
-    val added: AddedPart,
-    val forMs: Long,
-)
-
-/** Crashes of engines at set times, those that requests cause, and a limit that engines state. */
-data class EngineFaults(
-    val timed: List<Crash> = emptyList(),
-    val byPart: CrashingPart? = null,
-    val limit: EngineLimit? = null,
-)
-
-/** The first [engines] engines state from [fromMs] to [toMs] that they take [perSecond] requests from all entries. */
-data class EngineLimit(
-    val engines: Int,
-    val perSecond: Double,
-    val fromMs: Long,
-    val toMs: Long,
-)
-
 /** The entry [entry] is stopped from [fromMs] to [toMs]; the next one gets its requests. It forgets the limits. */
 data class EntryStop(
     val entry: Int,
@@ -122,9 +94,11 @@
     val outcomes: List<PromptOutcome>,
     val crashing: CrashingRequests,
     val quarantinedRequests: Int,
-    val limited: LimitedArrivals,
+    arrivals: EngineArrivals,
     val storeCalls: Int,
 ) {
+    val limited: LimitedArrivals = arrivals.limited
+    val statements: StatedArrivals = arrivals.stated
     val totalWorth: Double get() = worth.getValue(TOTAL)
 
     companion object {
@@ -132,6 +106,12 @@
     }
 }
 
+/** What reached engines that had stated a limit, or that they want no requests. */
+class EngineArrivals(
+    val limited: LimitedArrivals,
+    val stated: StatedArrivals,
+)
+
 /** What became of the requests with a part that crashes engines, and the times of the crashes. */
 class CrashingRequests(
     val outcomes: List<PromptOutcome>,
@@ -154,6 +134,7 @@
     val byRequest = (outcomes + crashing).associateBy { it.request.id }
     val routers = ArrayList<PromptRouter>()
     val limited = LimitedArrivals(loop)
+    val statements = StatedArrivals(loop, faults.statements)
     val stopped = HashSet<Int>()
 
     /** The entry that the balancer sends the request to: the next one after a stopped one. */
@@ -184,19 +165,20 @@
         outcome: PromptOutcome,
     ): Boolean = quarantines.refuses(entry, outcome.request).also { if (it) refuse(outcome) }
     repeat(entries) { number ->
+        val views = fleet.map { EntryInstanceView(it, loop) }
+        val results = AttemptResults({ routers[number].changed() }, ::refuse)
+        val observe = { request: PromptRequest, engine: EntryInstanceView ->
+            quarantines.observer(number, request, engine.id) +
+                limited.observer(number, engine) +
+                entryLimits.observer(number, engine)
+        }
+        val attempts = EntryAttempts(loop, number, entries, views, statements, observe, results)
         val send = { request: PromptRequest, engine: EntryInstanceView, uncached: Long ->
             val outcome = byRequest.getValue(request.id)
-            if (!refuseQuarantined(number, outcome)) {
-                val observer =
-                    quarantines.observer(number, request, engine.id) +
-                        limited.observer(number, engine) +
-                        entryLimits.observer(number, engine)
-                val isAccepted = offer(loop, outcome, engine, uncached, observer) { routers[number].changed() }
-                if (!isAccepted) refuse(outcome)
-            }
+            if (!refuseQuarantined(number, outcome)) attempts.start(outcome, engine, uncached)
         }
         val actions = EntryActions(send) { refuse(byRequest.getValue(it.id)) }
-        val views = fleet.map { EntryInstanceView(it, loop) }
+        views.forEach { it.admission = policy.admission }
         if (policy.cooperate) views.forEach { it.limit = { entryLimits.limit(number, it.id) } }
         routers += policy.router(loop, views, entries, actions)
     }
@@ -208,7 +190,6 @@
         }
     }
     faults.schedule(loop, fleet) { crashedAtMs += loop.nowMs }
-    faults.limit?.schedule(loop, fleet)
     callers.schedule(loop, stopped) {
         limited.forget(it)
         entryLimits.restart(it)
@@ -220,87 +201,18 @@
         fleet,
         CrashingRequests(crashing, crashedAtMs),
         quarantines.refused,
-        limited,
+        EngineArrivals(limited, statements),
         entryLimits.storeCalls,
     )
 }
 
-private fun EngineFaults.schedule(
-    loop: EventLoop,
-    fleet: List<PromptEngine>,
-    onCrashedByRequest: () -> Unit,
-) {
-    timed.forEach { crash ->
-        loop.at(crash.atMs) { fleet.take(crash.count).forEach { it.crash() } }
-        loop.at(crash.atMs + crash.forMs) { fleet.take(crash.count).forEach { it.restart() } }
-    }
-    fleet.forEach { engine ->
-        engine.onCrashedByRequest = {
-            onCrashedByRequest()
-            val crash = engine.crashes
-            loop.after(checkNotNull(byPart).forMs * US_PER_MS) { if (engine.crashes == crash) engine.restart() }
-        }
-    }
-}
-
-/** Returns false if the engine did not accept the request. */
-private fun offer(
-    loop: EventLoop,
-    outcome: PromptOutcome,
-    engine: EntryInstanceView,
-    uncachedTokens: Long,
-    observer: AttemptObserver,
-    prefillDone: () -> Unit,
-): Boolean {
-    val request = outcome.request
-    if (engine.engine.isUp) outcome.sent(loop.nowMs)
-    val unsharedTokens = request.prompt.last().tokens
-    engine.requestStarted(unsharedTokens, uncachedTokens)
-    var isPrefilling = true
-
-    fun endPrefill() {
-        if (!isPrefilling) return
-        isPrefilling = false
-        engine.prefillEnded(uncachedTokens)
-    }
-
-    fun end() {
-        endPrefill()
-        engine.requestEnded(unsharedTokens)
-        prefillDone()
-    }
-    val engineRequest =
-        EngineRequest(
-            request.prompt,
-            request.outputTokens,
-            request.profile.priority,
-            request.arrivedMs + request.profile.deadlineMs,
-            crashesEngine = request.id < 0,
-            onLost = {
-                if (!engine.engine.isUp) observer.crashed(!isPrefilling)
-                end()
-            },
-        ) { isLast ->
-            outcome.event(loop.nowMs, isLast)
-            if (isPrefilling) {
-                observer.responded()
-                endPrefill()
-                prefillDone()
-            }
-            if (isLast) end()
-        }
-    val isAccepted = engine.engine.submit(engineRequest)
-    if (!isAccepted) end()
-    return isAccepted
-}
-
 private fun PromptScenario.figuresOf(
     policy: PromptPolicy,
     outcomes: List<PromptOutcome>,
     fleet: List<PromptEngine>,
     crashing: CrashingRequests,
     quarantinedRequests: Int,
-    limited: LimitedArrivals,
+    arrivals: EngineArrivals,
     storeCalls: Int,
 ): PromptFigures {
     fun worthOf(outcomes: List<PromptOutcome>): Double {
@@ -320,7 +232,7 @@
         outcomes,
         crashing,
         quarantinedRequests,
-        limited,
+        arrivals,
         storeCalls,
     )
 }
@@ -335,12 +247,13 @@
         val figures = policies.map { run(it, seed) }
         val columns = figures.first().worth.keys + listOf("worst 2 s", "refused", "read Mtok", "preempted")
         appendLine("scenario $name, seed $seed: share of the worth by class")
-        appendLine("%-16s".format("policy") + columns.joinToString("") { "%18s".format(it) })
+        appendLine("%-20s".format("policy") + columns.joinToString("") { "%18s".format(it) })
         for (one in figures) {
             val shares = (one.worth.values + one.worstSecondsWorth).joinToString("") { "%18.3f".format(it) }
             val readMillions = one.readTokens / TOKENS_PER_MILLION
-            appendLine("%-16s%s%18d%18.2f%18d".format(one.policy, shares, one.refused, readMillions, one.preempted))
+            appendLine("%-20s%s%18d%18.2f%18d".format(one.policy, shares, one.refused, readMillions, one.preempted))
         }
+        if (faults.statements != null) append(statementLines(figures))
     }
 
 private const val TOKENS_PER_MILLION = 1e6
