Refuse a response of the platform that is joined from two

What the daemon got when the platform broke a response off and then wrote another one on the connection: a row with the version and value of the second response, an object with foreign bytes, a write reported as accepted or as certainly not applied against the second response.

Cause: the client (Ktor CIO) reads one response from both, and a put, an object and an order took status and ETag without looking at the body.

Change: JoinedResponse: a status line in the reason phrase, a header or, with its line end, in the body, two single-valued headers, or a JSON type without JSON make a read unavailable and a write ambiguous. A write is refused for certain only by a response of stated length, because CIO does not report a last chunk that is cut; in chunks it is ambiguous.

Left: an object whose type is not JSON and whose stated length is filled up by fewer bytes than a status line with its end, and bytes behind a whole response, which CIO does not show. daemon.http would see both.

--- a/ports/src/main/kotlin/io/teaselspring/ports/HttpPlatform.kt
+++ b/ports/src/main/kotlin/io/teaselspring/ports/HttpPlatform.kt
@@ -19,6 +19,7 @@
 import io.ktor.client.statement.HttpResponse
 import io.ktor.http.HttpMethod
 import io.ktor.http.HttpStatusCode
+import io.ktor.http.isSuccess
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.sync.Semaphore
@@ -182,13 +183,14 @@
             }.mapLeft { toPlatformError(step, it) }
             .flatMap { serverErrorOrNull(step, it)?.left() ?: it.right() }
 
-    private suspend fun HttpResponse.toPlatformResponse() =
-        PlatformResponse(
-            status.value,
-            headers["ETag"]?.trim('"'),
-            readBody(MAX_BODY_BYTES) ?: throw IOException("response body over $MAX_BODY_BYTES bytes"),
-            isWrite = call.request.method != HttpMethod.Get,
-        )
+    private suspend fun HttpResponse.toPlatformResponse(): PlatformResponse {
+        val body = readBody(MAX_BODY_BYTES) ?: throw IOException("response body over $MAX_BODY_BYTES bytes")
+        val isWrite = call.request.method != HttpMethod.Get
+        val isRefusedWrite = isWrite && !status.isSuccess()
+        val problem = joinProblem(body) ?: unknownEnd().takeIf { isRefusedWrite }
+        if (problem != null) throw IOException("not one response: $problem")
+        return PlatformResponse(status.value, headers["ETag"]?.trim('"'), body, isWrite)
+    }
 
     /** Rethrows [cause] if the calling coroutine was cancelled. */
     private fun toPlatformError(
