Cover malformed header lines of callers in the framing table

Nine forms are added to the refused ones: lines without a colon or a name, blanks in or behind a name, odd names, a NUL, a lone CR. All were answered 400 already, with nothing run (RequestFramingTest). A folded line is not refused: the entry forwards it unfolded, as one value on one line, which RFC 9112, section 5.2, allows; a test states it, and that a length in the folded part is not read as one. No code changes.

--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/RequestFramingTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/RequestFramingTest.kt
@@ -58,6 +58,15 @@
         Form("a space before the colon", "Transfer-Encoding : chunked\r\n", "0\r\n\r\n$INNER"),
         Form("an odd chunk size", "Transfer-Encoding: chunked\r\n", "zz\r\n$INNER"),
         Form("a negative chunk size", "Transfer-Encoding: chunked\r\n", "-1\r\n$INNER"),
+        Form("a line without a colon", "X-Note\r\n"),
+        Form("a line of words without a colon", "GET / HTTP/1.1\r\n"),
+        Form("a line without a name", ": x\r\n"),
+        Form("a blank in a name", "X Note: a\r\n"),
+        Form("a blank before the colon", "X-Note : a\r\n"),
+        Form("an odd name", "X(Note): a\r\n"),
+        Form("a name with a NUL", "X\u0000Note: a\r\n"),
+        Form("a value with a NUL", "X-Note: a\u0000b\r\n"),
+        Form("a value with a lone CR", "X-Note: a\rContent-Length: 5\r\n"),
         Form("HTTP/1.0 with another coding", "Transfer-Encoding: gzip\r\n", version = "HTTP/1.0"),
     )
 
@@ -105,6 +114,21 @@
             }
         }
 
+        // RFC 9112, section 5.2, lets a server unfold a line in place of refusing it.
+        test("a folded line reaches the instance as one value on one line") {
+            val engine =
+                ScriptedUpstream { request, output ->
+                    output.respond(request)
+                    ConnectionAction.CLOSE
+                }
+            withGateway(engine) {
+                call(ORDER, headers = "X-Note: a\r\n\tContent-Length: 5\r\n b\r\n") shouldContain "200 OK"
+                val request = engine.requests.value.single()
+                request.header("X-Note") shouldBe "a Content-Length: 5 b"
+                request.header("Content-Length") shouldBe "0"
+            }
+        }
+
         test("a path with bytes that are not printable ASCII is refused") {
             val engine =
                 ScriptedUpstream { request, output ->
