Let the agents' scheduler know that an upstream leaves or wants a pause

Callers would see requests on the agents' path sent to an engine that had said that it is leaving, or that it wants nothing for a while: only the path without agents kept what an instance says of itself.

The scheduler now keeps one StatedAvailability of its upstream. In a pause nothing starts or resumes; offers are refused with the time until its end, and so are queued requests that could not start in time after it. Afterwards work comes back as StatedAvailability admits it. When the upstream leaves, queued requests are refused at once as not run, and a preempted stream is stopped, so that its entry resumes it elsewhere. UpstreamRestarted forgets all of this. An upstream that misses its health checks in a pause does not get its preempted streams to fail them; they are stopped instead. On an entry the choice passes over an agent in a pause; with all of them in one the request is refused with the time until the first ends.

Nothing feeds statements to the scheduler yet.

--- a/core/src/main/kotlin/io/teaselspring/core/admission/AgentScheduler.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/admission/AgentScheduler.kt
@@ -4,11 +4,13 @@
  *
  * Tiers have strict priority. Within a tier, classes are served by weighted fair queueing and first-token deadline;
  * within a class, organisations are served by virtual token counters. A request whose predicted wait misses its
- * first-token deadline is refused on arrival.
+ * first-token deadline is refused on arrival. An upstream that has said it is leaving, or wants a pause, gets nothing.
  */
 package io.teaselspring.core.admission
 
 import io.teaselspring.core.KeyId
+import io.teaselspring.core.registry.Availability
+import io.teaselspring.core.registry.StatedAvailability
 import java.util.TreeSet
 
 /** Schedules the requests of one agent. Not thread-safe: the agent calls it from one coroutine. */
@@ -41,9 +43,12 @@
             is SchedulerEvent.Ended -> handleEnd(event, nowMs)
             is SchedulerEvent.KeysWithdrawn -> withdrawKeys(event.keyIds, nowMs, actions)
             is SchedulerEvent.UpstreamReachable -> setReachable(event.reachable, nowMs, actions)
+            is SchedulerEvent.UpstreamStated -> recordStatement(event, nowMs)
+            SchedulerEvent.UpstreamRestarted -> precheck.stated = StatedAvailability()
             SchedulerEvent.DrainStarted -> precheck.draining = true
             SchedulerEvent.Tick -> refuseLate(nowMs, actions)
         }
+        refuseUnwanted(nowMs, actions)
         startQueued(nowMs, actions)
         return actions
     }
@@ -58,10 +63,15 @@
             limit = batchLimit.value,
             lowestTier = lowestTier,
             firstTokenEstimateMs = (wait.meanMs + (firstToken ?: 0.0)).toLong(),
-            draining = precheck.draining,
+            draining = precheck.draining || precheck.stated.at(nowMs) == Availability.LEAVING,
+            availability = precheck.stated.at(nowMs),
+            pausedForMs = pausedForMs(nowMs),
         )
     }
 
+    /** Time until the end of the upstream's pause; 0 if it wants none. */
+    public fun pausedForMs(nowMs: Long): Long = maxOf(0, precheck.stated.pausedUntilMs - nowMs)
+
     private fun freeSlots() = batchLimit.value - running.size
 
     private fun handleOffer(
@@ -71,7 +81,9 @@
     ) {
         val reason = precheck.refusalReason(request, nowMs)
         if (reason != null) {
-            actions += SchedulerAction.Refuse(request.id, reason, NON_CAPACITY_RETRY_AFTER_MS)
+            val isPaused = reason == RefusalReason.UPSTREAM_PAUSED
+            val retryAfterMs = if (isPaused) pausedForMs(nowMs) else NON_CAPACITY_RETRY_AFTER_MS
+            actions += SchedulerAction.Refuse(request.id, reason, retryAfterMs)
             return
         }
         val state = classes.activate(request)
@@ -158,6 +170,40 @@
         }
     }
 
+    private fun recordStatement(
+        event: SchedulerEvent.UpstreamStated,
+        nowMs: Long,
+    ) {
+        if (event.isLeaving) precheck.stated.recordLeaving()
+        event.pause?.let { precheck.stated.recordPause(it, nowMs) }
+    }
+
+    /** Refuses what is queued for an upstream that is leaving, or whose pause ends too late for it. */
+    private fun refuseUnwanted(
+        nowMs: Long,
+        actions: MutableList<SchedulerAction>,
+    ) {
+        val availability = precheck.stated.at(nowMs)
+        if (availability == Availability.OPEN) return
+        val isLeaving = availability == Availability.LEAVING
+        val reason = if (isLeaving) RefusalReason.DRAINING else RefusalReason.UPSTREAM_PAUSED
+        val queued = attempts.values.filter { it.phase == Phase.QUEUED }
+        for (attempt in queued.filter { isLeaving || isTooLateAfterPause(it) }.sortedBy { it.sequence }) {
+            if (attempt.hasStarted) {
+                stop(attempt, StopCause.UPSTREAM_UNWILLING, actions)
+            } else {
+                remove(attempt)
+                actions += SchedulerAction.Refuse(attempt.request.id, reason, pausedForMs(nowMs))
+            }
+        }
+    }
+
+    private fun isTooLateAfterPause(attempt: Attempt): Boolean {
+        val endMs = precheck.stated.pausedUntilMs
+        val misses = !attempt.hasStarted && deadlineCheck.isTooLateToStart(attempt, endMs)
+        return misses || attempt.request.deadlineMs <= endMs
+    }
+
     private fun setReachable(
         reachable: Boolean,
         nowMs: Long,
@@ -167,7 +213,10 @@
         if (reachable) return
         for (attempt in attempts.values.filter { it.phase == Phase.QUEUED }.sortedBy { it.sequence }) {
             // Starting a preempted attempt fails, which tells the entry to resume the stream on another agent.
-            if (attempt.hasStarted) {
+            // It must not reach an upstream that has only missed its health checks and wants no requests.
+            if (attempt.hasStarted && precheck.stated.at(nowMs) != Availability.OPEN) {
+                stop(attempt, StopCause.UPSTREAM_UNWILLING, actions)
+            } else if (attempt.hasStarted) {
                 start(attempt, nowMs, actions)
             } else {
                 refuseQueued(attempt, RefusalReason.UPSTREAM_DOWN, nowMs, actions)
@@ -205,7 +254,7 @@
         nowMs: Long,
         actions: MutableList<SchedulerAction>,
     ) {
-        if (freeSlots() > 0) return
+        if (freeSlots() > 0 && mayStart(nowMs)) return
         for (state in classes.all()) {
             val marginMs = if (state.tier < classes.tiers.lastKey()) DISPLACEMENT_MARGIN_MS else 0
             val startMs = nowMs + marginMs
@@ -269,11 +318,14 @@
         if (attempt.phase == Phase.QUEUED) remove(attempt) else attempt.phase = Phase.STOPPING
     }
 
+    /** Whether the upstream may get one more request by what it has said of itself. */
+    private fun mayStart(nowMs: Long) = precheck.stated.admits(running.size, batchLimit.value, nowMs)
+
     private fun startQueued(
         nowMs: Long,
         actions: MutableList<SchedulerAction>,
     ) {
-        while (precheck.reachable && freeSlots() > 0) {
+        while (precheck.reachable && freeSlots() > 0 && mayStart(nowMs)) {
             val highest = classes.highestWaitingTier() ?: return
             val byCredit = floorCredit.tierByCredit(classes, prediction, freeSlots(), nowMs)
             val next = classes.nextClass(byCredit ?: highest)?.nextAttempt() ?: return
--- a/core/src/main/kotlin/io/teaselspring/core/admission/SchedulerAction.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/admission/SchedulerAction.kt
@@ -10,13 +10,24 @@
     DISPLACED,
     DRAINING,
     UPSTREAM_DOWN,
+
+    /** The upstream wants no requests for a while. */
+    UPSTREAM_PAUSED,
     KEY_WITHDRAWN,
     DUPLICATE,
     EXPIRED,
 }
 
-/** Reason why a running attempt is stopped. */
-public enum class StopCause { PREEMPTED, CANCELLED, EXPIRED, KEY_WITHDRAWN }
+/** Reason why a started attempt is stopped. */
+public enum class StopCause {
+    PREEMPTED,
+    CANCELLED,
+    EXPIRED,
+    KEY_WITHDRAWN,
+
+    /** It was preempted, and the upstream has said that it wants no requests before it could resume. */
+    UPSTREAM_UNWILLING,
+}
 
 /** An action for the agent. Actions are executed in the order in which they are returned. */
 public sealed interface SchedulerAction {
--- a/core/src/main/kotlin/io/teaselspring/core/admission/SchedulerEvent.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/admission/SchedulerEvent.kt
@@ -7,6 +7,7 @@
 import io.teaselspring.core.KeyId
 import io.teaselspring.core.OrganisationId
 import io.teaselspring.core.RequestId
+import kotlin.time.Duration
 
 /** Identifies one attempt of a request. */
 public data class AttemptId(
@@ -72,6 +73,15 @@
         val reachable: Boolean,
     ) : SchedulerEvent
 
+    /** The upstream said in a response that it [isLeaving], or that it wants no requests in the next [pause]. */
+    public data class UpstreamStated(
+        val isLeaving: Boolean,
+        val pause: Duration?,
+    ) : SchedulerEvent
+
+    /** Another process has taken the place of the upstream: what the earlier one said holds no longer. */
+    public data object UpstreamRestarted : SchedulerEvent
+
     /** The agent starts to drain: it accepts no new requests and finishes the accepted ones. */
     public data object DrainStarted : SchedulerEvent
 
--- a/core/src/main/kotlin/io/teaselspring/core/admission/SchedulerPolicy.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/admission/SchedulerPolicy.kt
@@ -3,7 +3,12 @@
  */
 package io.teaselspring.core.admission
 
-/** Snapshot of the load of one upstream, as reported to entries. */
+import io.teaselspring.core.registry.Availability
+
+/**
+ * Snapshot of the load of one upstream, as reported to entries. [availability] is what the upstream has said of itself,
+ * with the time [pausedForMs] until the end of a pause; [draining] covers an upstream that is leaving.
+ */
 public data class SchedulerLoad(
     val running: Int,
     val queued: Int,
@@ -11,6 +16,8 @@
     val lowestTier: Int?,
     val firstTokenEstimateMs: Long,
     val draining: Boolean,
+    val availability: Availability = Availability.OPEN,
+    val pausedForMs: Long = 0,
 )
 
 /**
--- a/core/src/main/kotlin/io/teaselspring/core/choice/AgentView.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/choice/AgentView.kt
@@ -13,7 +13,8 @@
  * State of one agent as seen by an entry. Times are on the entry's monotonic clock, in milliseconds. [sentSinceReport]
  * is the number of the entry's own offers since the report, less those that have been refused or have ended since (see
  * [UnreportedRequests]). [firstTokenAverageMs] and [betweenTokensAverageMs] are moving averages that the entry
- * measured. Until [ejectedUntilMs] the agent is ejected: it receives offers only when no other agent is eligible.
+ * measured. Until [ejectedUntilMs] the agent is ejected: it receives offers only when no other agent is eligible. Until
+ * [pausedUntilMs] its upstream wants no requests, and the agent receives no offers.
  */
 public data class AgentView(
     val instance: InstanceId,
@@ -32,4 +33,5 @@
     val firstTokenAverageMs: Double? = null,
     val betweenTokensAverageMs: Double? = null,
     val ejectedUntilMs: Long = 0,
+    val pausedUntilMs: Long = 0,
 )
--- a/core/src/main/kotlin/io/teaselspring/core/choice/UpstreamChooser.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/choice/UpstreamChooser.kt
@@ -24,9 +24,9 @@
 )
 
 /**
- * Chooses the agent for the next offer, or returns null if there is no eligible agent outside [tried]. Agents without a
- * connection are eligible only if no agent that serves the request has one. [random] returns a uniformly distributed
- * non-negative integer below its argument.
+ * Chooses the agent for the next offer, or returns null if there is no eligible agent outside [tried]. An agent whose
+ * upstream wants a pause is not eligible. Agents without a connection are eligible only if no agent that serves the
+ * request has one. [random] returns a uniformly distributed non-negative integer below its argument.
  */
 public fun chooseAgent(
     agents: Collection<AgentView>,
@@ -36,7 +36,7 @@
     nowMs: Long,
     random: (Int) -> Int,
 ): InstanceId? {
-    val serving = agents.filter { it.serves(request) }
+    val serving = agents.filter { it.serves(request) && nowMs >= it.pausedUntilMs }
     val pool = serving.filter { it.connected }.ifEmpty { serving }
     val untried = pool.filter { it.instance !in tried }
     val eligible = if (request.displace) untried.displaceable(request.tier, nowMs) else untried
@@ -56,6 +56,17 @@
     return (affinityAgent ?: candidates.lowerCostOfTwo(pool, localDataCentre, random)).instance
 }
 
+/** Time until the first pause ends, or null unless the upstreams of all agents that serve [request] want one. */
+public fun pausedForMs(
+    agents: Collection<AgentView>,
+    request: ChoiceRequest,
+    nowMs: Long,
+): Long? =
+    agents
+        .filter { it.serves(request) }
+        .minOfOrNull { it.pausedUntilMs - nowMs }
+        ?.takeIf { it > 0 }
+
 private fun AgentView.serves(request: ChoiceRequest) =
     upstream == request.upstream && !draining && (request.model == null || request.model in models)
 
--- a/core/src/main/kotlin/io/teaselspring/core/dispatch/Dispatch.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/dispatch/Dispatch.kt
@@ -23,6 +23,9 @@
  */
 public typealias ChooseAgent = (tried: Set<InstanceId>, displace: Boolean, nowMs: Long) -> InstanceId?
 
+/** Time until the first pause ends, or null unless the upstreams of all agents for the request want one. */
+public typealias PausedFor = (nowMs: Long) -> Long?
+
 /** Takes one retry from the retry budget; returns false when the budget is exhausted. */
 public typealias SpendRetry = () -> Boolean
 
@@ -37,6 +40,7 @@
 public class Dispatch(
     private val request: DispatchRequest,
     private val choose: ChooseAgent,
+    private val pausedForMs: PausedFor = { null },
     private val spendRetry: SpendRetry,
 ) {
     private val triedAgents = mutableSetOf<InstanceId>()
@@ -123,7 +127,11 @@
     }
 
     private fun refuseNoAgent(nowMs: Long) =
-        if (retryAfter.hasBusyAgent) refuse(429, "no capacity", nowMs) else refuse(503, "no upstream available", nowMs)
+        if (retryAfter.hasBusyAgent || pausedForMs(nowMs) != null) {
+            refuse(429, "no capacity", nowMs)
+        } else {
+            refuse(503, "no upstream available", nowMs)
+        }
 
     /** Ends the request as not run, or with an unknown outcome if an earlier attempt may have run. */
     private fun refuse(
@@ -134,7 +142,7 @@
         if (mayHaveRun) {
             DispatchAction.FailUnknown(reason)
         } else {
-            DispatchAction.Refuse(status, reason, retryAfter.shortestMs(nowMs))
+            DispatchAction.Refuse(status, reason, pausedForMs(nowMs) ?: retryAfter.shortestMs(nowMs))
         },
     )
 
--- a/core/src/test/kotlin/io/teaselspring/core/admission/AgentSchedulerPropertyTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/admission/AgentSchedulerPropertyTest.kt
@@ -11,6 +11,7 @@
 import io.kotest.property.arbitrary.long
 import io.kotest.property.checkAll
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
 
 private val config = PropTestConfig(seed = 20_261_204, iterations = 60)
 
@@ -118,6 +119,37 @@
             }
         }
 
+        // Guards against requests, new, queued or preempted, that reach an upstream in a pause or when it is leaving.
+        test("nothing starts within a pause or once the upstream is leaving, and all that is accepted ends") {
+            checkAll(config, Arb.long()) { seed ->
+                val random = Random(seed)
+                val pauses = mutableListOf<LongRange>()
+                val upstream =
+                    randomWorkload(seed) { upstream, _, _ ->
+                        if (random.nextInt(8) > 0) return@randomWorkload
+                        val pauseMs = 1 + random.nextLong(300)
+                        val starts = upstream.starts.size
+                        upstream.apply(SchedulerEvent.UpstreamStated(isLeaving = false, pauseMs.milliseconds))
+                        upstream.starts.size shouldBe starts
+                        pauses += upstream.nowMs + 1..upstream.nowMs + pauseMs
+                        if (random.nextInt(4) == 0) upstream.apply(SchedulerEvent.UpstreamReachable(false))
+                        upstream.apply(SchedulerEvent.UpstreamReachable(true))
+                        val refused = upstream.offer(offered(10_000 + pauses.size)).last() as SchedulerAction.Refuse
+                        refused.reason shouldBe RefusalReason.UPSTREAM_PAUSED
+                        refused.retryAfterMs shouldBeGreaterThanOrEqual pauseMs
+                    }
+                upstream.startTimesMs.filter { start -> pauses.any { start in it } } shouldBe emptyList()
+                val starts = upstream.starts.size
+                upstream.apply(SchedulerEvent.UpstreamStated(isLeaving = true, null))
+                upstream.scheduler.load(upstream.nowMs).queued shouldBe 0
+                repeat(300) { upstream.advance() }
+                upstream.starts.size shouldBe starts
+                upstream.scheduler.load(upstream.nowMs).running shouldBe 0
+                upstream.apply(SchedulerEvent.UpstreamRestarted)
+                upstream.offer(offered(9999)).last() shouldBe SchedulerAction.Start(offered(9999).id)
+            }
+        }
+
         // Guards against starvation of the lowest class while a higher tier alone exceeds capacity (I2).
         test("the lowest class gets starts while a higher tier exceeds capacity") {
             checkAll(config, Arb.long()) { seed ->
--- a/core/src/test/kotlin/io/teaselspring/core/admission/FakeUpstream.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/admission/FakeUpstream.kt
@@ -42,6 +42,7 @@
     val remainingTokens = HashMap<AttemptId, Int>()
     val tokens = HashMap<OrganisationId?, Int>()
     val starts = mutableListOf<AttemptId>()
+    val startTimesMs = mutableListOf<Long>()
     val log = mutableListOf<SchedulerAction>()
     var nowMs = 0L
 
@@ -66,6 +67,7 @@
     private fun start(id: AttemptId) {
         check(id !in running) { "$id started twice" }
         starts += id
+        startTimesMs += nowMs
         running[id] = remainingTokens[id] ?: tokensOf(requests.getValue(id))
     }
 
--- a/core/src/test/kotlin/io/teaselspring/core/choice/UpstreamChooserTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/choice/UpstreamChooserTest.kt
@@ -57,6 +57,17 @@
             }
         }
 
+        // Guards against offers to an agent whose upstream wants none, and a wait that outlasts the first pause.
+        test("an agent in a pause is not chosen, and the wait is that of the first pause to end") {
+            val paused = listOf(agent(0).copy(pausedUntilMs = 12_000), agent(1).copy(pausedUntilMs = 11_000))
+            val draining = agent(2).copy(draining = true)
+            repeat(20) { choose(paused + agent(3), request, Random(it)) shouldBe agent(3).instance }
+            pausedForMs(paused + draining + agent(3), request, 10_000) shouldBe null
+            choose(paused + draining, request, Random(1)) shouldBe null
+            pausedForMs(paused + draining, request, 10_000) shouldBe 1_000
+            chooseAgent(paused, request, localDataCentre, emptySet(), 11_000) { 0 } shouldBe agent(1).instance
+        }
+
         // Guards against a slow engine that keeps receiving requests because its reported load is normal, and against
         // one that has recovered but receives no requests.
         test("a straggler is ejected, probed once, and used again if the probe is fast") {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AgentMessages.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AgentMessages.kt
@@ -47,7 +47,7 @@
 internal fun RefusalReason.toNotRunReason(): NotRunReason =
     when (this) {
         RefusalReason.TOO_LATE, RefusalReason.EXPIRED -> NotRunReason.TOO_LATE
-        RefusalReason.QUEUE_FULL -> NotRunReason.QUEUE_FULL
+        RefusalReason.QUEUE_FULL, RefusalReason.UPSTREAM_PAUSED -> NotRunReason.QUEUE_FULL
         RefusalReason.DISPLACED -> NotRunReason.DISPLACED
         RefusalReason.DRAINING -> NotRunReason.DRAINING
         RefusalReason.UPSTREAM_DOWN -> NotRunReason.UPSTREAM_DOWN
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/TeaselspringRouter.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/TeaselspringRouter.kt
@@ -228,6 +228,8 @@
         RefusalReason.DISPLACED -> NotRunCause.DISPLACED
         RefusalReason.DRAINING, RefusalReason.UPSTREAM_DOWN -> NotRunCause.UNAVAILABLE
         RefusalReason.KEY_WITHDRAWN -> NotRunCause.KEY_WITHDRAWN
-        RefusalReason.TOO_LATE, RefusalReason.QUEUE_FULL, RefusalReason.DUPLICATE, RefusalReason.EXPIRED ->
+        RefusalReason.TOO_LATE, RefusalReason.QUEUE_FULL, RefusalReason.DUPLICATE, RefusalReason.EXPIRED,
+        RefusalReason.UPSTREAM_PAUSED,
+        ->
             NotRunCause.BUSY
     }
