Heed leaving and pauses of an upstream on the agents' path

Callers would see requests through an agent sent to an engine that had said leaving in its responses, or turned one away with 503 and Retry-After: the agent read neither, except to pass a refusal's time on. The agent also went on with its health checks.

The agent reads the status and headers of every response (plain, stream head, error, refusal, health check; not 421) in UpstreamStatements and passes them to its loop, whose scheduler decides by them. In a pause there is no health check either. The load report says draining for an upstream that is leaving, and gives the time left of a pause; entries pass over the agent, and with all in a pause refuse at once with 429 and the time until the first ends. A response speaks for the process that its request was sent to; a health check's refused connection, or a health response that says leaving no longer after one that did, shows another process. The header's name is the setting leaving_header. State dump, metric and log name the reason.

Changed for the test: ScriptedUpstream takes a port, for a restart at the same address; SettingsTest reads the new setting as well.

Open: a restart that no health check sees (within a pause, or in under 200 ms while health responses do not say leaving) is not noticed; a 503 of a plain service still reaches its caller with the service's own Retry-After.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/Roles.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/Roles.kt
@@ -86,7 +86,7 @@
     control?.start(scope)
     val internal = agent.start(settings.addresses.internal)
     val operations =
-        Operations(registry, { agent.isReady }, {}) { putAgent(agent.summary(), agent.isReachable) }
+        Operations(registry, { agent.isReady }, {}) { putAgent(agent.summary(), agent.isReachable, agent.availability) }
     val operators = startOperators(settings, identity, operations, requestDrain)
     return Running(linkedMapOf("operators" to operators.first, "internal" to internal)) {
         agent.drain()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/Agent.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/Agent.kt
@@ -7,6 +7,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.teaselspring.core.admission.AgentScheduler
 import io.teaselspring.core.admission.SchedulerPolicy
+import io.teaselspring.core.registry.Availability
 import io.teaselspring.daemon.MonotonicMs
 import io.teaselspring.daemon.link.Link
 import io.teaselspring.daemon.link.LinkContext
@@ -60,7 +61,6 @@
     streamIdleMs: Long,
     private val dependencies: AgentDependencies = AgentDependencies(),
 ) {
-    private val upstream = UpstreamClient(settings.upstreamUrl, streamIdleMs.milliseconds, dependencies.connectTimeout)
     private val openLinks = ConcurrentHashMap.newKeySet<Link>()
     private val loop =
         AgentLoop(
@@ -69,6 +69,13 @@
             dependencies,
             ::startRun,
         )
+    private val upstream =
+        UpstreamClient(
+            settings.upstreamUrl,
+            streamIdleMs.milliseconds,
+            dependencies.connectTimeout,
+            UpstreamStatements(settings.leavingHeader, loop.events::send),
+        )
     private var listener: LinkListener? = null
 
     /** True while the upstream passes its health check. */
@@ -79,8 +86,11 @@
     @Volatile
     private var isDraining = false
 
-    /** True while the agent accepts requests and its upstream is reachable. */
-    val isReady: Boolean get() = isReachable && !isDraining
+    /** What the upstream has said of itself in its responses. */
+    val availability: Availability get() = loop.availability
+
+    /** True while the agent accepts requests, or will after a pause, and its upstream is reachable. */
+    val isReady: Boolean get() = isReachable && !isDraining && availability != Availability.LEAVING
 
     /** Starts the agent and returns the address that it listens on for links. */
     suspend fun start(internalAddress: String): String {
@@ -140,16 +150,23 @@
     private suspend fun checkHealthPeriodically() {
         var failures = 0
         while (true) {
+            waitForEndOfPause()
             val isHealthy = upstream.isHealthy(dependencies.healthCheckTimeout)
             failures = if (isHealthy) 0 else failures + 1
             // A single failed check does not make a reachable upstream unreachable. The state starts as unreachable, so
             // the first successful check makes it reachable.
             val nowReachable = if (isHealthy) true else isReachable && failures < UNREACHABLE_AFTER_FAILURES
             if (nowReachable != isReachable || failures == 1) updateReachability(nowReachable)
-            delay(dependencies.healthCheckInterval)
+            val interval = dependencies.healthCheckInterval
+            delay(if (availability == Availability.LEAVING) minOf(RESTART_CHECK_INTERVAL, interval) else interval)
         }
     }
 
+    /** An upstream in a pause wants no health checks either; it counts as reachable as before. */
+    private suspend fun waitForEndOfPause() {
+        while (loop.pausedForMs > 0) delay(loop.pausedForMs.milliseconds)
+    }
+
     private suspend fun updateReachability(nowReachable: Boolean) {
         if (nowReachable != isReachable) log.info("event=upstream reachable={}", nowReachable)
         loop.events.send(AgentEvent.UpstreamReachability(nowReachable))
@@ -161,5 +178,8 @@
     private companion object {
         /** Number of consecutive failed health checks after which the upstream counts as unreachable. */
         const val UNREACHABLE_AFTER_FAILURES = 2
+
+        /** Health check interval of an upstream that is leaving: it shows a restart only by a refused connection. */
+        val RESTART_CHECK_INTERVAL = 200.milliseconds
     }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AgentLoop.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AgentLoop.kt
@@ -7,13 +7,19 @@
 import io.teaselspring.core.admission.AgentScheduler
 import io.teaselspring.core.admission.AttemptId
 import io.teaselspring.core.admission.SchedulerEvent
+import io.teaselspring.core.admission.SchedulerLoad
+import io.teaselspring.core.registry.Availability
+import io.teaselspring.core.registry.parsePause
 import io.teaselspring.daemon.receiveWithin
 import io.teaselspring.daemon.settings.AgentSettings
 import io.teaselspring.protocol.Message
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
+import org.slf4j.LoggerFactory
 import kotlin.time.Duration.Companion.milliseconds
 
+private val log = LoggerFactory.getLogger("io.teaselspring.daemon.agent")
+
 /** Interval of scheduler ticks while there are attempts. */
 private const val TICK_MS = 50L
 
@@ -28,7 +34,7 @@
 
 /** The state of an agent, confined to the coroutine of [run]. */
 internal class AgentLoop(
-    settings: AgentSettings,
+    private val settings: AgentSettings,
     private val scheduler: AgentScheduler,
     private val dependencies: AgentDependencies,
     startRun: StartRun,
@@ -43,6 +49,25 @@
     private val attempts = AttemptTable(settings, scheduler, dependencies, startRun, ::sendToEntry)
     private var lastTickMs = nowMs()
 
+    /** The latest process of the upstream that a statement came from. */
+    private var process = 0
+
+    @Volatile
+    private var isLeaving = false
+
+    @Volatile
+    private var pausedUntilMs = 0L
+
+    /** What the upstream has said of itself, and the time until the end of its pause. */
+    val availability: Availability
+        get() =
+            when {
+                isLeaving -> Availability.LEAVING
+                pausedForMs > 0 -> Availability.PAUSED
+                else -> Availability.OPEN
+            }
+    val pausedForMs: Long get() = maxOf(0, pausedUntilMs - nowMs())
+
     suspend fun run() {
         while (true) {
             val waitMs = if (attempts.isEmpty) IDLE_TICK_MS else TICK_MS
@@ -64,11 +89,52 @@
             is AgentEvent.TokensProduced -> attempts.step(SchedulerEvent.TokensProduced(event.id, event.count))
             is AgentEvent.RunEnded -> attempts.handleRunEnd(event.attempt, event.result)
             is AgentEvent.UpstreamReachability -> attempts.step(SchedulerEvent.UpstreamReachable(event.reachable))
+            is AgentEvent.UpstreamStated -> recordStatement(event)
             AgentEvent.Drain -> drain()
             AgentEvent.Tick -> tick()
         }
     }
 
+    /** Records what the upstream has said of itself, and reports it to all entries if it is new. */
+    private fun recordStatement(event: AgentEvent.UpstreamStated) {
+        // A late response of an earlier process says nothing about the present one.
+        if (event.process < process) return
+        val before = scheduler.load(nowMs())
+        if (event.process > process) attempts.step(SchedulerEvent.UpstreamRestarted)
+        process = event.process
+        attempts.step(SchedulerEvent.UpstreamStated(event.isLeaving, parsePause(event.retryAfter)))
+        val load = scheduler.load(nowMs())
+        isLeaving = load.availability == Availability.LEAVING
+        pausedUntilMs = nowMs() + load.pausedForMs
+        logStatement(event, before, load)
+        if (load.availability != before.availability || load.pausedForMs > before.pausedForMs) {
+            sessions.forEach(::sendLoad)
+        }
+    }
+
+    private fun logStatement(
+        event: AgentEvent.UpstreamStated,
+        before: SchedulerLoad,
+        load: SchedulerLoad,
+    ) {
+        val upstream = settings.upstream
+        if (isLeaving && before.availability != Availability.LEAVING) {
+            log.info("event=instance_leaving upstream={} source=response running={}", upstream, load.running)
+        }
+        if (event.retryAfter.isNotEmpty()) {
+            val header = event.retryAfter.joinToString()
+            log.info(
+                "event=instance_paused upstream={} header=\"{}\" paused_for_ms={}",
+                upstream,
+                header,
+                load.pausedForMs,
+            )
+        }
+        if (load.availability == Availability.OPEN && before.availability != Availability.OPEN) {
+            log.info("event=instance_replaced upstream={} before={}", upstream, before.availability.name.lowercase())
+        }
+    }
+
     private fun addSession(session: EntrySession) {
         sessions += session
         if (attempts.draining) session.link.offer(Message.Goodbye)
@@ -118,7 +184,7 @@
         val flushed = dependencies.usage.flushedSequence(session.link.peer.incarnation)
         dependencies.metrics.recordLoad(load)
         session.lastLoadMs = nowMs()
-        session.link.offer(load.toMessage(flushed, attempts.draining, dependencies.configVersion()))
+        session.link.offer(load.toMessage(flushed, dependencies.configVersion()))
     }
 
     /** Counts for the state dump. Other coroutines read them without synchronisation, so they may be stale. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AgentMessages.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AgentMessages.kt
@@ -57,7 +57,6 @@
 
 internal fun SchedulerLoad.toMessage(
     flushedUsageSequence: Long,
-    isDraining: Boolean,
     configVersion: Long,
 ): Message.Load =
     Message.Load(
@@ -67,6 +66,7 @@
         lowestTier = lowestTier,
         firstTokenEstimateMs = firstTokenEstimateMs,
         flushedUsageSequence = flushedUsageSequence,
-        draining = isDraining,
+        draining = draining,
         configVersion = configVersion,
+        pausedForMs = pausedForMs,
     )
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AgentMetrics.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AgentMetrics.kt
@@ -7,6 +7,7 @@
 import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.teaselspring.core.admission.SchedulerLoad
+import io.teaselspring.core.registry.Availability
 import io.teaselspring.protocol.Message
 import io.teaselspring.protocol.NotRunReason
 import io.teaselspring.protocol.RequestKind
@@ -49,6 +50,14 @@
             .help("1 while the upstream answers its health check")
             .register(registry)
 
+    private val availability =
+        Gauge
+            .builder()
+            .name("teaselspring_agent_upstream_availability")
+            .help("1 for what the upstream has said of itself: open, paused or leaving")
+            .labelNames("availability")
+            .register(registry)
+
     init {
         NotRunReason.entries.forEach { refusals.initLabelValues(it.name.lowercase()) }
     }
@@ -63,6 +72,9 @@
         requests.labelValues("running").set(load.running.toDouble())
         requests.labelValues("queued").set(load.queued.toDouble())
         requests.labelValues("limit").set(load.limit.toDouble())
+        Availability.entries.forEach {
+            availability.labelValues(it.name.lowercase()).set(if (it == load.availability) 1.0 else 0.0)
+        }
     }
 
     /** Counts a run that ended with [result] after it produced [completionTokens]. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/Attempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/Attempt.kt
@@ -124,6 +124,16 @@
         val reachable: Boolean,
     ) : AgentEvent
 
+    /**
+     * The [process] of the upstream said in a response that it [isLeaving], or refused with [retryAfter], the values of
+     * `Retry-After`. Neither means that the process is new. A later process has a higher number.
+     */
+    data class UpstreamStated(
+        val process: Int,
+        val isLeaving: Boolean,
+        val retryAfter: List<String>,
+    ) : AgentEvent
+
     data object Drain : AgentEvent
 
     data object Tick : AgentEvent
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AttemptTable.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AttemptTable.kt
@@ -192,7 +192,7 @@
             }
             is RunResult.Broken -> sendFinal(attempt, submit.toFailed(result.detail, recordUsage(attempt)))
             is RunResult.NotSent -> handleNotSent(attempt, NotRunReason.UPSTREAM_DOWN, DEFAULT_RETRY_AFTER_MS)
-            is RunResult.RefusedByUpstream -> handleNotSent(attempt, NotRunReason.QUEUE_FULL, result.retryAfterMs)
+            is RunResult.RefusedByUpstream -> handleRefused(attempt, result.retryAfterMs)
             RunResult.Stopped -> {
                 val cause = attempt.stopCause ?: StopCause.CANCELLED
                 if (cause != StopCause.PREEMPTED) failStopped(attempt, cause)
@@ -201,6 +201,15 @@
         step(SchedulerEvent.Ended(attempt.id, completed = result == RunResult.Complete))
     }
 
+    private fun handleRefused(
+        attempt: Attempt,
+        retryAfterMs: Long,
+    ) {
+        val load = scheduler.load(nowMs())
+        val reason = if (load.draining) NotRunReason.DRAINING else NotRunReason.QUEUE_FULL
+        handleNotSent(attempt, reason, maxOf(retryAfterMs, load.pausedForMs))
+    }
+
     private fun handleNotSent(
         attempt: Attempt,
         reason: NotRunReason,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/UpstreamClient.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/UpstreamClient.kt
@@ -8,6 +8,7 @@
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
 import io.ktor.client.engine.cio.endpoint
+import io.ktor.client.network.sockets.ConnectTimeoutException
 import io.ktor.client.plugins.sse.ClientSSESession
 import io.ktor.client.plugins.sse.SSE
 import io.ktor.client.plugins.sse.SSEClientException
@@ -55,11 +56,15 @@
 /** Request headers that would change the format of an event stream, or that the client sets itself. */
 private val HEADERS_NOT_FORWARDED_FOR_STREAMS = setOf("accept", "accept-encoding", "cache-control")
 
-/** Client of the upstream at [baseUrl]. [streamIdleTimeout] bounds the time without data. */
+/**
+ * Client of the upstream at [baseUrl]. [streamIdleTimeout] bounds the time without data. The heads of all responses are
+ * passed to [statements].
+ */
 internal class UpstreamClient(
     private val baseUrl: String,
     private val streamIdleTimeout: Duration,
     connectionTimeout: Duration,
+    private val statements: UpstreamStatements = UpstreamStatements(),
 ) : AutoCloseable {
     private val client =
         HttpClient(CIO) {
@@ -87,13 +92,20 @@
     /** True if the upstream responds to its health check with success within [timeout]. */
     suspend fun isHealthy(timeout: Duration): Boolean =
         try {
+            val listener = statements.forHealthCheck()
             withTimeoutOrNull(timeout) {
                 client.prepareGet("$baseUrl/healthz").execute {
+                    listener(it)
                     it.status.isSuccess() && it.readBody(MAX_HEALTH_BODY_BYTES) != null
                 }
             } ?: false
         } catch (e: CancellationException) {
             throw e
+        } catch (_: ConnectTimeoutException) {
+            false
+        } catch (_: ConnectException) {
+            statements.processReplaced()
+            false
         } catch (_: Exception) {
             false
         }
@@ -105,6 +117,7 @@
     ): RunResult =
         mapExceptions {
             var execution: Job? = null
+            val listener = statements.forRequest()
             try {
                 var result: RunResult? = null
                 client.sse(request = {
@@ -112,6 +125,7 @@
                     prepare(attempt.submit, HEADERS_NOT_FORWARDED_FOR_STREAMS)
                     if (attempt.nextOffset > 0) header("Last-Event-ID", (attempt.nextOffset - 1).toString())
                 }) {
+                    listener(call.response)
                     result = relay(attempt, onToken)
                 }
                 result ?: RunResult.Broken("the event stream did not begin")
@@ -121,7 +135,7 @@
                 when {
                     isConnectFailure -> RunResult.NotSent(e.cause?.message ?: "connection refused")
                     response == null -> RunResult.Broken(e.message ?: "the event stream broke off")
-                    else -> handleUnstreamedResponse(attempt, response)
+                    else -> handleUnstreamedResponse(attempt, response.also { listener(it) })
                 }
             } finally {
                 // Until the response starts, the plugin runs the request in the client's scope, which a cancellation of
@@ -131,15 +145,19 @@
         }
 
     /** Forwards a plain request and its response. */
-    suspend fun forward(attempt: Attempt): RunResult =
-        plainClient.send(attempt.submit).use { exchange ->
-            var result = attempt.relay(exchange.next())
+    suspend fun forward(attempt: Attempt): RunResult {
+        val listener = statements.forRequest()
+        return plainClient.send(attempt.submit).use { exchange ->
+            val first = exchange.next()
+            if (first is PlainEvent.Head) listener(first.status, first.headers)
+            var result = attempt.relay(first)
             while (result == null) {
                 val event = withTimeoutOrNull(streamIdleTimeout) { exchange.next() }
                 result = if (event == null) RunResult.Broken("no data for $streamIdleTimeout") else attempt.relay(event)
             }
             result
         }
+    }
 
     private suspend fun ClientSSESession.relay(
         attempt: Attempt,
@@ -234,6 +252,9 @@
     }
 }
 
+private suspend operator fun ResponseListener.invoke(response: HttpResponse) =
+    invoke(response.status.value, response.headers.toHeaderList())
+
 private suspend fun Attempt.sendStarted(response: HttpResponse) =
     sendStarted(response.status.value, response.headers.toHeaderList().forCaller())
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/entry/AgentPool.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/AgentPool.kt
@@ -199,6 +199,7 @@
                 firstTokenEstimateMs = load.firstTokenEstimateMs,
                 reportedAtMs = nowMs(),
                 sentSinceReport = 0,
+                pausedUntilMs = if (load.pausedForMs > 0) nowMs() + load.pausedForMs else 0,
             )
         }
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/entry/RequestRun.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/RequestRun.kt
@@ -7,6 +7,7 @@
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.choice.ChoiceRequest
 import io.teaselspring.core.choice.chooseAgent
+import io.teaselspring.core.choice.pausedForMs
 import io.teaselspring.core.dispatch.Dispatch
 import io.teaselspring.core.dispatch.DispatchAction
 import io.teaselspring.core.dispatch.DispatchEvent
@@ -77,6 +78,7 @@
         Dispatch(
             DispatchRequest(request.serviceClass.tier, request.idempotent, resumable = request.isChat, deadlineMs),
             choose = ::choose,
+            pausedForMs = { now -> pausedForMs(context.pool.views(), choiceRequest(displace = false), now) },
             spendRetry = { context.retries.trySpend(request.organisation) },
         )
 
@@ -121,12 +123,13 @@
         displace: Boolean,
         now: Long,
     ): InstanceId? {
-        val to = request.destination
-        val choice = ChoiceRequest(to.upstream, to.model, request.serviceClass.tier, to.prefixHash, displace)
-        val views = context.pool.latencies.apply(to, context.pool.views())
-        return chooseAgent(views, choice, context.localDataCentre, tried, now, context.random)
+        val views = context.pool.latencies.apply(request.destination, context.pool.views())
+        return chooseAgent(views, choiceRequest(displace), context.localDataCentre, tried, now, context.random)
     }
 
+    private fun choiceRequest(displace: Boolean) =
+        request.destination.run { ChoiceRequest(upstream, model, request.serviceClass.tier, prefixHash, displace) }
+
     private suspend fun offer(next: DispatchAction.Offer): DispatchAction {
         offer = next
         offeredAtMs = nowMs()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/operations/StateDump.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/operations/StateDump.kt
@@ -4,6 +4,7 @@
 package io.teaselspring.daemon.operations
 
 import io.teaselspring.core.choice.AgentView
+import io.teaselspring.core.registry.Availability
 import io.teaselspring.daemon.entry.EntrySummary
 import io.teaselspring.daemon.link.LinkIdentity
 import kotlinx.serialization.json.JsonArray
@@ -40,12 +41,14 @@
     put("agents", JsonArray(summary.agents.sortedBy { it.instance.value }.map { it.dump(nowMs) }))
 }
 
-/** Adds the state of an agent: whether its upstream is reachable, and the counts of [summary]. */
+/** Adds the state of an agent: whether its upstream is reachable and wants requests, and the counts of [summary]. */
 fun JsonObjectBuilder.putAgent(
     summary: Map<String, Long>,
     isReachable: Boolean,
+    availability: Availability,
 ) {
     put("upstream_reachable", isReachable)
+    put("availability", availability.name.lowercase())
     summary.forEach { (name, value) -> put(name, value) }
 }
 
@@ -63,4 +66,5 @@
         put("report_age_ms", nowMs - reportedAtMs)
         put("sent_since_report", sentSinceReport)
         put("avoided_for_ms", maxOf(0, ejectedUntilMs - nowMs))
+        put("paused_for_ms", maxOf(0, pausedUntilMs - nowMs))
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/settings/Settings.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/settings/Settings.kt
@@ -49,13 +49,17 @@
     val streamIdleMs: Long = 60_000,
 )
 
-/** The upstream beside an agent. [models] is empty for a plain service. */
+/**
+ * The upstream beside an agent. [models] is empty for a plain service. A response with [leavingHeader] says that the
+ * process is about to exit.
+ */
 data class AgentSettings(
     val upstream: UpstreamName,
     val upstreamUrl: String,
     val models: List<ModelName>,
     val maxRunning: Int,
     val maxQueued: Int,
+    val leavingHeader: String = "X-Leaving",
 )
 
 /** PEM files for TLS towards callers. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/settings/SettingsReader.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/settings/SettingsReader.kt
@@ -112,6 +112,7 @@
         models = texts("models", "a list of model names") { it.isNotBlank() }.map(::ModelName),
         maxRunning = number("max_running", 1L..100_000L, 32).toInt(),
         maxQueued = number("max_queued", 0L..100_000L, 256).toInt(),
+        leavingHeader = optional("leaving_header") { headerName(it) } ?: "X-Leaving",
     )
 
 private fun ObjectReader.tlsFiles(): TlsFiles? {
@@ -125,11 +126,15 @@
 }
 
 private val SHA256_HEX = Regex("[0-9a-f]{64}")
+private val HEADER_NAME = Regex("[A-Za-z0-9-]{1,100}")
 private val NAME = Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
 
 private fun ObjectReader.name(field: String): String =
     text(field, "1 to 100 letters, digits, '.', '_' or '-'", "") { it.matches(NAME) }
 
+private fun ObjectReader.headerName(field: String): String =
+    text(field, "the name of a header: 1 to 100 letters, digits or '-'", "") { it.matches(HEADER_NAME) }
+
 private fun ObjectReader.address(field: String): String =
     text(field, "\"IP:port\" with a literal IP address and a port from 0 to 65535", "0.0.0.0:0") { isAddress(it, true) }
 
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/ScriptedUpstream.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/ScriptedUpstream.kt
@@ -29,14 +29,17 @@
 
 /** Runs [script] for each request; it writes the response and returns what to do with the connection. */
 class ScriptedUpstream(
+    port: Int,
     private val script: (ReceivedRequest, OutputStream) -> ConnectionAction,
 ) : AutoCloseable {
+    constructor(script: (ReceivedRequest, OutputStream) -> ConnectionAction) : this(0, script)
+
     /** All requests received. */
     val requests = MutableStateFlow(emptyList<ReceivedRequest>())
 
     /** Connections that the client closed while the script ran or before the next request. */
     val closedByClient = MutableStateFlow(0)
-    private val listener = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    private val listener = ServerSocket(port, 50, InetAddress.getLoopbackAddress())
 
     /** "IP:port". */
     val address: String = "127.0.0.1:${listener.localPort}"
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/settings/SettingsTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/settings/SettingsTest.kt
@@ -46,6 +46,9 @@
             val settings = read().getOrNull()!!
             settings.limits shouldBe RequestLimits(streamIdleMs = 5000)
             settings.agent?.models shouldBe listOf(ModelName("cuentos-7b"))
+            settings.agent?.leavingHeader shouldBe "X-Leaving"
+            val named = read("\"models\"" to "\"leaving_header\": \"Server-Leaving\", \"models\"")
+            named.getOrNull()?.agent?.leavingHeader shouldBe "Server-Leaving"
             settings.sharedSecretFile shouldBe directory.resolve("secret")
             settings.isolationLimitMs shouldBe 600_000
         }
--- a/protocol/src/main/kotlin/io/teaselspring/protocol/Message.kt
+++ b/protocol/src/main/kotlin/io/teaselspring/protocol/Message.kt
@@ -167,7 +167,8 @@
     /**
      * State of one agent. [firstTokenEstimateMs] predicts the first token of a request of the lowest tier that arrives
      * now. [lowestTier] is the lowest tier queued or running, null when idle. [flushedUsageSequence] is the last usage
-     * record of this connection's entry that is stored.
+     * record of this connection's entry that is stored. With an upstream that is leaving the agent is [draining]; one
+     * in a pause wants no requests for [pausedForMs].
      */
     @Serializable
     @SerialName("load")
@@ -180,6 +181,7 @@
         val flushedUsageSequence: Long,
         val draining: Boolean,
         val configVersion: Long,
+        val pausedForMs: Long = 0,
     ) : Message
 
     /** Key ids that were withdrawn; running requests of these keys end. */
