Load the agents' path with upstreams that leave and pause at random

The stand-ins of StatementsSoakTest become a fixture of their own, which also answers health checks and can start at a given port; its checks of requests are the same, health checks may reach an instance that leaves. AgentStatementsSoakTest runs five of them behind agents under 16 callers, each leaving and starting anew at its address, and counts what arrives later than half a second after a statement, is lost or runs twice.

--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/StatementsSoakTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/StatementsSoakTest.kt
@@ -13,96 +13,15 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
-import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
-import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.TimeSource
 
 private const val INSTANCES = 5
 private const val CALLERS = 16
 
-/** Requests on the way when an instance says something may still arrive for this long. */
-private val ON_THE_WAY = 500.milliseconds
-
-/** What the instances have run and what has reached them too late. */
-private class Journal {
-    val start = TimeSource.Monotonic.markNow()
-    val runs = ConcurrentHashMap<String, AtomicInteger>()
-    val tooLate = ConcurrentLinkedQueue<String>()
-
-    fun nowMs() = start.elapsedNow().inWholeMilliseconds
-}
-
-/** An instance that says it is leaving or asks for a pause in some of its responses. */
-private class MoodyInstance(
-    private val name: String,
-    private val journal: Journal,
-    seed: Int,
-) {
-    private val random = Random(seed)
-    val isLeaving = AtomicBoolean()
-    private var leavingSaidMs = Long.MAX_VALUE
-    private var pauseSaidMs = Long.MAX_VALUE
-    private var pausedUntilMs = 0L
-
-    val upstream =
-        ScriptedUpstream { request, output ->
-            val leaving = if (isLeaving.get()) "X-Leaving: 1\r\n" else ""
-            val pauseMs = note()
-            val answeredMs = journal.nowMs()
-            if (pauseMs != null) {
-                val extra = "${leaving}X-Not-Run: 1\r\nRetry-After: ${secondsText(pauseMs)}\r\n"
-                output.respond(request, "full", "503 Full", extra = extra)
-            } else {
-                journal.runs
-                    .computeIfAbsent(
-                        checkNotNull(request.header("X-Call")),
-                    ) { AtomicInteger() }
-                    .incrementAndGet()
-                output.respond(request, "done", extra = leaving)
-            }
-            said(pauseMs, answeredMs)
-            ConnectionAction.KEEP
-        }
-
-    /** Checks a request that has just arrived; returns the pause to ask for, or null to run it. */
-    @Synchronized
-    private fun note(): Long? {
-        val nowMs = journal.nowMs()
-        val margin = ON_THE_WAY.inWholeMilliseconds
-        if (nowMs > pauseSaidMs + margin &&
-            nowMs < pausedUntilMs
-        ) {
-            journal.tooLate +=
-                "$name at $nowMs ms, ${pausedUntilMs - nowMs} ms before the end of a pause"
-        }
-        if (leavingSaidMs != Long.MAX_VALUE &&
-            nowMs > leavingSaidMs + margin
-        ) {
-            journal.tooLate += "$name left at $nowMs ms"
-        }
-        return random.nextLong(600, 1_500).takeIf { random.nextInt(150) == 0 }
-    }
-
-    /** Notes a response after it was written, from which the entry knows; a pause counts from [answeredMs]. */
-    @Synchronized
-    private fun said(
-        pauseMs: Long?,
-        answeredMs: Long,
-    ) {
-        val nowMs = journal.nowMs()
-        if (isLeaving.get()) leavingSaidMs = minOf(leavingSaidMs, nowMs)
-        if (pauseMs != null && answeredMs + pauseMs > pausedUntilMs) {
-            if (nowMs >= pausedUntilMs) pauseSaidMs = nowMs
-            pausedUntilMs = answeredMs + pauseMs
-        }
-    }
-}
-
 class StatementsSoakTest :
     FunSpec({
         val seeds = System.getProperty("soak.seeds")?.toInt() ?: 3
