--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AgentMessages.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AgentMessages.kt
@@ -47,7 +47,7 @@
 internal fun RefusalReason.toNotRunReason(): NotRunReason =
     when (this) {
         RefusalReason.TOO_LATE, RefusalReason.EXPIRED -> NotRunReason.TOO_LATE
-        RefusalReason.QUEUE_FULL -> NotRunReason.QUEUE_FULL
+        RefusalReason.QUEUE_FULL, RefusalReason.UPSTREAM_PAUSED -> NotRunReason.QUEUE_FULL
         RefusalReason.DISPLACED -> NotRunReason.DISPLACED
         RefusalReason.DRAINING -> NotRunReason.DRAINING
         RefusalReason.UPSTREAM_DOWN -> NotRunReason.UPSTREAM_DOWN
@@ -57,7 +57,6 @@
 
 internal fun SchedulerLoad.toMessage(
     flushedUsageSequence: Long,
-    isDraining: Boolean,
     configVersion: Long,
 ): Message.Load =
     Message.Load(
@@ -67,6 +66,7 @@
         lowestTier = lowestTier,
         firstTokenEstimateMs = firstTokenEstimateMs,
         flushedUsageSequence = flushedUsageSequence,
-        draining = isDraining,
+        draining = draining,
         configVersion = configVersion,
+        pausedForMs = pausedForMs,
     )
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/PlainHttpClient.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/PlainHttpClient.kt
@@ -51,8 +51,10 @@
         val reason: String,
     ) : PlainEvent
 
+    /** The connection could not be opened; with [isRefused] no process listens at the address. */
     data class NotSent(
         val reason: String,
+        val isRefused: Boolean = false,
     ) : PlainEvent
 }
 
@@ -138,6 +140,8 @@
         private inner class Listener : ExchangeListener {
             override fun notSent(reason: String) = emit(PlainEvent.NotSent(reason))
 
+            override fun refused(reason: String) = emit(PlainEvent.NotSent(reason, isRefused = true))
+
             override fun head(response: HttpResponse) {
                 val status = response.status().code()
                 if (isRefusal(status)) exchange?.expectRefusal()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/UpstreamClient.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/UpstreamClient.kt
@@ -34,26 +34,33 @@
 
 private val REFUSALS = setOf(HttpStatusCode.TooManyRequests.value, HttpStatusCode.ServiceUnavailable.value)
 
-/** Client of the upstream at [baseUrl]. [streamIdleTimeout] bounds the time without data. */
+/**
+ * Client of the upstream at [baseUrl]. [streamIdleTimeout] bounds the time without data. The heads of all responses are
+ * passed to [statements].
+ */
 internal class UpstreamClient(
     baseUrl: String,
     private val streamIdleTimeout: Duration,
     connectionTimeout: Duration,
+    private val statements: UpstreamStatements = UpstreamStatements(),
 ) : AutoCloseable {
     private val client = PlainHttpClient(baseUrl, connectionTimeout)
 
     override fun close() = client.close()
 
     /** True if the upstream responds to its health check with success within [timeout]. */
-    suspend fun isHealthy(timeout: Duration): Boolean =
-        withTimeoutOrNull(timeout) {
+    suspend fun isHealthy(timeout: Duration): Boolean {
+        val listener = statements.forHealthCheck()
+        return withTimeoutOrNull(timeout) {
             client.get("/healthz").use { exchange ->
-                val head = exchange.receive()
+                val head = exchange.receiveHead(listener)
+                if (head is PlainEvent.NotSent && head.isRefused) statements.processReplaced()
                 head is PlainEvent.Head &&
                     head.status in 200..299 &&
                     exchange.receiveBody(MAX_HEALTH_BODY_BYTES) is Body.Whole
             }
         } ?: false
+    }
 
     /** Runs a chat completion, resuming at the attempt's offset. [onToken] is called for each forwarded event. */
     suspend fun streamChat(
@@ -61,8 +68,9 @@
         onToken: suspend () -> Unit,
     ): RunResult =
         mapExceptions {
+            val listener = statements.forRequest()
             client.send(attempt.submit, attempt.streamHeaders(), REFUSALS::contains).use { exchange ->
-                val first = exchange.receive()
+                val first = exchange.receiveHead(listener)
                 when {
                     first is PlainEvent.NotSent -> RunResult.NotSent(first.reason)
                     first is PlainEvent.Broken -> RunResult.Broken(first.reason)
@@ -79,10 +87,11 @@
     /** Forwards a plain request and its response. */
     suspend fun forward(attempt: Attempt): RunResult =
         mapExceptions {
+            val listener = statements.forRequest()
             client.send(attempt.submit).use { exchange ->
-                var result = attempt.relay(exchange.receive())
+                var result = attempt.relay(exchange.receiveHead(listener))
                 while (result == null) {
-                    val event = withTimeoutOrNull(streamIdleTimeout) { exchange.receive() }
+                    val event = withTimeoutOrNull(streamIdleTimeout) { exchange.next() }
                     result =
                         if (event == null) RunResult.Broken("no data for $streamIdleTimeout") else attempt.relay(event)
                 }
@@ -90,14 +99,15 @@
             }
         }
 
-    /** Waits for the next part of a response. The status and headers of every response pass here. */
-    private suspend fun PlainHttpClient.PlainExchange.receive(): PlainEvent = next()
+    /** Waits for the first part of a response. The status and headers of every response pass here to [listener]. */
+    private suspend fun PlainHttpClient.PlainExchange.receiveHead(listener: ResponseListener): PlainEvent =
+        next().also { if (it is PlainEvent.Head) listener(it.status, it.headers) }
 
     private suspend fun PlainHttpClient.PlainExchange.relayEvents(
         attempt: Attempt,
         onToken: suspend () -> Unit,
     ): RunResult {
-        val reader = EventReader { receive() }
+        val reader = EventReader { next() }
         var timeout = streamIdleTimeout
         var result: RunResult? = null
         while (result == null) {
@@ -149,7 +159,7 @@
     private suspend fun PlainHttpClient.PlainExchange.receiveBody(maxBytes: Int): Body {
         val bytes = ByteArrayOutputStream()
         while (bytes.size() <= maxBytes) {
-            when (val part = receive()) {
+            when (val part = next()) {
                 is PlainEvent.BodyChunk -> bytes.write(part.bytes)
                 PlainEvent.End -> return Body.Whole(bytes.toByteArray())
                 is PlainEvent.Broken -> return Body.Broken(part.reason)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
@@ -33,11 +33,14 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Receives the response of an exchange. Exactly one of [notSent], [end] and [broken] is called, as the last call. */
+/** Receives the response of an exchange. One of [notSent], [refused], [end] and [broken] is called, as the last call. */
 internal interface ExchangeListener {
     /** The connection could not be opened, and no byte of the request has been sent. */
     fun notSent(reason: String)
 
+    /** As [notSent]: the server's host refused the connection. */
+    fun refused(reason: String) = notSent(reason)
+
     /** The status line and headers of the response have been received. */
     fun head(response: HttpResponse)
 
@@ -128,7 +131,7 @@
             it.close()
             onResult(false)
         },
-        onFailed = { onResult(it is ConnectException && it !is ConnectTimeoutException) },
+        onFailed = { onResult(it.isRefusal()) },
     )
 
     internal fun now() = nowMs()
@@ -198,7 +201,10 @@
         connections.open(
             this,
             onConnected = { exchange.onConnected(it, request, listener) },
-            onFailed = { if (!exchange.isCancelled) listener.notSent(it?.message ?: "cancelled") },
+            onFailed = {
+                val reason = it?.message ?: "cancelled"
+                if (!exchange.isCancelled) if (it.isRefusal()) listener.refused(reason) else listener.notSent(reason)
+            },
         )
         return exchange
     }
@@ -277,3 +283,5 @@
     }
     return writeAndFlush(message)
 }
+
+private fun Throwable?.isRefusal() = this is ConnectException && this !is ConnectTimeoutException
