Count pipelined messages, and share short memory between organisations

Messages of requests behind a running one were kept outside the budget, up to 64 a connection (seen: 48 bytes counted while 12 connections pipelined 1 MiB each). They count now, and reading stops when they do not fit. The rest of a refused pipelined request is dropped when its turn comes, so that its connection closes.

One organisation, or callers with made-up keys, could hold the whole budget, so that the large requests of others were refused. OrganisationBytes decides who may take more: alone an organisation gets all but the reserve; half of the reserve takes large requests of organisations with no more than an equal part; one over its part is refused first and its streams wait. The reserve grows from 3 to 8.1 of 27 MiB, for a body of 4 MiB. The organisation is that of the key in the head; unknown keys are one.

State page, metric and log line say who holds what.

--- a/core/src/main/kotlin/io/teaselspring/core/routing/RoutingConfig.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/routing/RoutingConfig.kt
@@ -106,6 +106,9 @@
     /** Whether requests on routes that are not public need a key. */
     public val requiresKeys: Boolean get() = organisations != null
 
+    /** The organisation with [key], null if none has it. */
+    public fun organisation(key: String?): CallerOrganisation? = key?.let { organisationsByKey[it] }
+
     /** The route with the longest prefix of [path] among those of [host]. */
     public fun route(
         host: String,
@@ -119,7 +122,7 @@
         key: String?,
     ): RoutingDecision {
         val route = route(host, path) ?: return RoutingDecision.NoRoute
-        val organisation = key?.let { organisationsByKey[it] }
+        val organisation = organisation(key)
         if (requiresKeys && !route.isPublic && organisation == null) return RoutingDecision.UnknownKey
         return RoutingDecision.Allowed(route, organisation)
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ByteBudget.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ByteBudget.kt
@@ -6,11 +6,11 @@
 package io.teaselspring.daemon.gateway
 
 import io.netty.util.internal.PlatformDependent
+import io.teaselspring.core.OrganisationId
 
 /**
- * At most [limitBytes] for all shares together. A share of up to [SMALL_SHARE_BYTES] may take from a further
- * [reserveBytes], so that small requests are served while large ones wait. Streams end up in the first half of the
- * reserve, as their bytes have arrived before they are counted. Not thread-safe.
+ * At most [limitBytes] for all shares together, and a further [reserveBytes] for what must not wait for them: small
+ * requests, and organisations that hold little ([OrganisationBytes] decides). Not thread-safe.
  */
 class ByteBudget(
     private val limitBytes: Long,
@@ -20,30 +20,53 @@
     var usedBytes = 0L
         private set
 
+    /** What each organisation holds; null stands for all callers without a known key. */
+    val organisations = OrganisationBytes(limitBytes, reserveBytes)
+
     private var pressure = MemoryPressure.NONE
 
     /** The streams in progress, which wait or go on as the pressure changes. */
     internal val streams = LinkedHashSet<StreamShare>()
 
+    /** Streams whose callers have not read all: the next read of each comes on top of what they hold. */
+    private var busyStreams = 0
+
     /** Bytes of unfinished events, which only come back when more of them arrives. */
     internal var partialBytes = 0L
     internal val maxPartialBytes get() = limitBytes / 4
 
     /**
-     * Whether a stream may read more. While memory is short only one that [isIdle] may: its caller has read all, so its
-     * bytes come back at once if the caller keeps reading.
+     * Whether a stream of [organisation] may read more. While memory is short only one that [isIdle] may: its caller
+     * has read all, so its bytes come back at once if the caller keeps reading. An organisation that holds more than an
+     * equal part of the memory waits with all its streams.
      */
-    internal fun mayRead(isIdle: Boolean) =
-        pressure == MemoryPressure.NONE || (pressure < MemoryPressure.FULL && isIdle)
+    internal fun mayRead(
+        organisation: OrganisationId?,
+        isIdle: Boolean,
+    ) = when (pressure) {
+        MemoryPressure.NONE -> true
+        MemoryPressure.SHORT -> isIdle && !organisations.isOverPart(organisation)
+        MemoryPressure.FULL -> false
+    }
+
+    internal fun countBusyStream(change: Int) {
+        busyStreams += change
+        updatePressure()
+    }
+
+    /** Lets streams go on whose organisation holds less by now. */
+    internal fun updateStreams() = streams.forEach { it.update() }
 
-    /** The bytes of one request, response or stream. */
-    inner class Share {
+    /** The bytes of one request, response or stream of [organisation]. */
+    inner class Share(
+        val organisation: OrganisationId? = null,
+    ) {
         private var bytes = 0L
 
         /** Adds [count] bytes; returns false and adds nothing if they do not fit. */
         fun grow(count: Long): Boolean {
             val isSmall = bytes + count <= SMALL_SHARE_BYTES
-            if (usedBytes + count > if (isSmall) limitBytes + reserveBytes else limitBytes) return false
+            if (usedBytes + count > organisations.ceilingBytes(organisation, count, isSmall)) return false
             add(count)
             return true
         }
@@ -52,6 +75,7 @@
         internal fun add(count: Long) {
             bytes += count
             usedBytes += count
+            organisations.add(organisation, count)
             updatePressure()
         }
 
@@ -65,13 +89,13 @@
         val next = if (now < pressure) minOf(pressure, pressureOf(usedBytes + reserveBytes / 4)) else now
         if (next == pressure) return
         pressure = next
-        streams.forEach { it.update() }
+        updateStreams()
     }
 
     private fun pressureOf(bytes: Long) =
         when {
             bytes > limitBytes + reserveBytes / 2 -> MemoryPressure.FULL
-            bytes > limitBytes -> MemoryPressure.SHORT
+            bytes + busyStreams * READ_BYTES > limitBytes -> MemoryPressure.SHORT
             else -> MemoryPressure.NONE
         }
 
@@ -80,11 +104,19 @@
     companion object {
         const val SMALL_SHARE_BYTES = 64L * 1024
 
+        /** A socket that is ready is read once more after it has been told to wait, at most this much. */
+        private const val READ_BYTES = 64L * 1024
+
         /**
          * The budget of this process: half of its direct memory, which sockets read into, and less than a third of its
-         * heap, in which a response takes up to twice its size while it grows.
+         * heap, in which a response takes up to twice its size while it grows. Half of the reserve has room for a body
+         * of 4 MiB on the users' platform.
          */
-        fun ofProcess(): ByteBudget =
-            ByteBudget(minOf(PlatformDependent.maxDirectMemory() / 2, Runtime.getRuntime().maxMemory() * 3 / 10))
+        fun ofProcess(): ByteBudget {
+            val allBytes =
+                minOf(PlatformDependent.maxDirectMemory() / 2, Runtime.getRuntime().maxMemory() * 3 / 10) * 9 / 8
+            val reserveBytes = allBytes * 3 / 10
+            return ByteBudget(allBytes - reserveBytes, reserveBytes)
+        }
     }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallerConnection.kt
@@ -1,6 +1,6 @@
 /*
  * HTTP/1.1 server connection of a caller: buffers each request whole and processes pipelined requests one at a time.
- * While too many pipelined messages are queued, reading from the socket stops (backpressure).
+ * While too many pipelined messages are queued, or too many bytes, reading from the socket stops (backpressure).
  */
 package io.teaselspring.daemon.gateway
 
@@ -29,7 +29,6 @@
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import io.teaselspring.core.routing.CallerLimits
-import java.util.ArrayDeque
 
 /** One connection of a caller, on the event loop of the entry. */
 internal class CallerConnection(
@@ -39,7 +38,7 @@
 ) : ChannelInboundHandlerAdapter(),
     ResponseWriter {
     private lateinit var channel: Channel
-    private val pipelined = ArrayDeque<HttpObject>()
+    private val pipelined = PipelinedMessages(context.memory)
     private var requestHead: HttpRequest? = null
     private var partialBody: CompositeByteBuf? = null
     private var bodyMemory = context.memory.Share()
@@ -79,8 +78,7 @@
         openConnections -= this
         releaseBody()
         requestHead = null
-        pipelined.forEach { ReferenceCountUtil.release(it) }
-        pipelined.clear()
+        pipelined.release()
         execution?.callerDisconnected()
         execution = null
         isResponding = false
@@ -110,15 +108,17 @@
     override fun channelRead(
         ctx: ChannelHandlerContext,
         message: Any,
-    ) {
+    ) = receive(message)
+
+    private fun receive(message: Any) {
         if (isDiscarding && message is LastHttpContent) {
             ReferenceCountUtil.release(message)
             closeAfterDiscarding()
         } else if (isClosing || message !is HttpObject) {
             ReferenceCountUtil.release(message)
         } else if (isResponding) {
-            pipelined.addLast(message)
-            if (pipelined.size > MAX_PIPELINED_MESSAGES) channel.config().isAutoRead = false
+            pipelined.add(message)
+            if (!pipelined.mayRead) channel.config().isAutoRead = false
         } else {
             process(message)
         }
@@ -146,7 +146,7 @@
             !headers.stateOneFraming() || !head.uri().isPrintableAscii() -> reject(HttpResponseStatus.BAD_REQUEST)
             headers.getAll(HttpHeaderNames.HOST).size != 1 -> reject(HttpResponseStatus.BAD_REQUEST)
             length > limits.bodyBytes -> reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
-            !bodyMemory.grow(length) -> refuseForMemory(headers)
+            !startShare(headers).grow(length) -> refuseForMemory(headers)
             else -> {
                 requestHead = head
                 keepAlive = HttpUtil.isKeepAlive(head)
@@ -159,6 +159,9 @@
         }
     }
 
+    private fun startShare(headers: HttpHeaders) =
+        context.memory.Share(context.organisationOf(headers)).also { bodyMemory = it }
+
     private fun appendBody(content: HttpContent) {
         val requestBody = partialBody ?: return
         lastProgressMs = context.nowMs()
@@ -269,7 +272,7 @@
 
     private fun setConnection(headers: HttpHeaders) {
         // A pipelined request that has been read is responded to before the connection is closed.
-        if (context.isDraining() && pipelined.none { it is HttpRequest }) keepAlive = false
+        if (context.isDraining() && !pipelined.hasRequest) keepAlive = false
         if (!keepAlive) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 
@@ -294,8 +297,8 @@
     }
 
     private fun processPipelined() {
-        if (!channel.config().isAutoRead) channel.config().isAutoRead = true
-        while (!isResponding && !isClosing) process(pipelined.pollFirst() ?: return)
+        while (!isResponding) receive(pipelined.poll() ?: break)
+        if (isClosing || pipelined.mayRead) channel.config().isAutoRead = true
     }
 
     override fun abort() {
@@ -310,9 +313,6 @@
     private companion object {
         /** A slow line moves some bytes at least this often; also the time for which a stop waits for a caller. */
         const val MAX_READING_PAUSE_MS = 2_000L
-
-        /** HTTP messages of later requests that are kept while a response is in progress. */
-        const val MAX_PIPELINED_MESSAGES = 64
         const val MAX_BODY_COMPONENTS = 256
     }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallerConnections.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallerConnections.kt
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpServerCodec
+import io.teaselspring.core.OrganisationId
 import io.teaselspring.core.routing.CallerLimits
 import java.net.InetSocketAddress
 
@@ -23,6 +24,7 @@
     val limits: () -> CallerLimits,
     val isDraining: () -> Boolean,
     val memory: ByteBudget,
+    val organisationOf: (HttpHeaders) -> OrganisationId?,
     val refuseForMemory: (HttpHeaders) -> HttpHeaders,
     val execute: (IncomingRequest, ResponseWriter) -> RequestHandle,
 )
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
@@ -10,6 +10,8 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.teaselspring.daemon.http.BodyFraming
 
+internal const val NO_MEMORY_FOR_EVENT = "no memory for an unfinished event"
+
 /**
  * A stream that is forwarded to [writer], possibly from several instances in turn. [memory] counts what is kept of it.
  */
@@ -94,7 +96,7 @@
         framer.add(chunk)?.let { writer.writeBody(it, memory) }
         return when {
             framer.isOversized -> "event too large"
-            !memory.keepPartial(framer.partialBytes) -> "no memory for an unfinished event"
+            !memory.keepPartial(framer.partialBytes) -> NO_MEMORY_FOR_EVENT
             else -> null
         }
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
@@ -4,6 +4,7 @@
 package io.teaselspring.daemon.gateway
 
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlin.time.Duration
@@ -98,7 +99,28 @@
             .labelNames("what")
             .register(registry)
 
-    /** [what] is "request" or "response". */
+    /** Shows what [memory] holds of all organisations and of the one that holds most. */
+    fun observe(memory: ByteBudget) {
+        GaugeWithCallback
+            .builder()
+            .name("teaselspring_kept_bytes")
+            .help("Bytes kept for callers, of all and of the organisation that holds most")
+            .labelNames("holder")
+            .callback {
+                it.call(memory.usedBytes.toDouble(), "all")
+                it.call(
+                    (
+                        memory.organisations
+                            .largest(1)
+                            .firstOrNull()
+                            ?.second ?: 0
+                    ).toDouble(),
+                    "largest",
+                )
+            }.register(registry)
+    }
+
+    /** [what] is "request", "response" or "stream". */
     fun memoryRefused(what: String) = memoryRefusals.labelValues(what).inc()
 
     fun request(
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
@@ -92,7 +92,7 @@
     internal val loop: EventLoop = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next() as EventLoop
     internal val nowMs: () -> Long = { System.nanoTime() / NANOS_PER_MS }
     internal val connections = HttpConnections(loop, nowMs)
-    internal val metrics = GatewayMetrics(PrometheusRegistry())
+    internal val metrics = GatewayMetrics(PrometheusRegistry()).also { it.observe(memory) }
 
     /** HTTP client on the event loop. */
     val calls: HttpCalls = HttpCalls(connections, metrics::controlCall)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -18,6 +18,7 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
+import kotlinx.serialization.json.putJsonObject
 import org.slf4j.LoggerFactory
 import java.io.ByteArrayOutputStream
 import kotlin.random.Random
@@ -75,19 +76,29 @@
                 limits = { gateway.config.current?.limits ?: CallerLimits() },
                 isDraining = { gateway.isDraining },
                 memory = runtime.memory,
+                organisationOf = ::organisationOf,
                 refuseForMemory = ::refusalForMemory,
                 execute = { request, writer -> RequestExecution(gateway, request, writer).also { it.start() } },
             ),
         )
 
+    private fun organisationOf(requestHeaders: HttpHeaders) =
+        gateway.config.current
+            ?.organisation(requestHeaders[gateway.settings.headers.key])
+            ?.id
+
     /** The headers of a refusal of the request with [requestHeaders], whose body does not fit into memory. */
     private fun refusalForMemory(requestHeaders: HttpHeaders): HttpHeaders {
         val requestId = requestHeaders[gateway.settings.headers.requestId]
+        val organisation = organisationOf(requestHeaders)
         runtime.metrics.memoryRefused("request")
         log.info(
-            "event=call_ended request={} outcome=refused reason=\"no memory for the body\" kept_bytes={}",
+            "event=call_ended request={} outcome=refused reason=\"no memory for the body\" kept_bytes={} " +
+                "organisation={} organisation_bytes={}",
             requestId,
             runtime.memory.usedBytes,
+            organisation?.value,
+            runtime.memory.organisations.heldBytes(organisation),
         )
         val headers = DefaultHttpHeaders()
         headers["Retry-After"] = retryAfterSeconds(Random.Default::nextInt)
@@ -141,6 +152,7 @@
             delay(HOUSEKEEPING_INTERVAL)
             callers.closeOverdue()
             runtime.connections.sweep()
+            runtime.memory.updateStreams()
             gateway.instances.removeExpired()
             gateway.quarantine.expire()
         }
@@ -229,6 +241,11 @@
                 put("usage_lease_held", usage.isLeaseHeld)
                 put("calls_running", callers.runningRequests)
                 put("kept_bytes", runtime.memory.usedBytes)
+                putJsonObject("largest_holders_bytes") {
+                    runtime.memory.organisations.largest(LARGEST_HOLDERS).forEach { (id, bytes) ->
+                        put(id?.value ?: "unknown key", bytes)
+                    }
+                }
                 put("calls_queued", gateway.queues.size + gateway.permits.size)
                 put("entries", gateway.entryCount())
                 putJsonArray("quarantined_parts") { gateway.quarantine.quarantined.forEach { add("$it") } }
@@ -261,5 +278,6 @@
     private companion object {
         val HOUSEKEEPING_INTERVAL = 500.milliseconds
         val DRAIN_CHECK_INTERVAL = 50.milliseconds
+        const val LARGEST_HOLDERS = 5
     }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/IncomingRequest.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/IncomingRequest.kt
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseStatus
+import io.teaselspring.core.OrganisationId
 
 /** A caller's request to an agentless entry. [memory] is the share of the entry's budget that [body] takes. */
 internal class IncomingRequest(
@@ -22,6 +23,9 @@
         memory.release()
     }
 
+    /** The organisation whose memory the request takes, by its key when its head arrived. */
+    val organisation: OrganisationId? get() = memory.organisation
+
     val host: String get() = headers["Host"].orEmpty().substringBefore(':').lowercase()
 
     val path: String get() = uri.substringBefore('?')
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -140,7 +140,7 @@
         response.headers().iteratorCharSequence().forEach { (name, value) ->
             if (name.toString().lowercase() !in HeaderNames.perConnection) headers.add(name, value)
         }
-        buffered = BufferedResponse(response.status(), headers, gateway.memory.Share())
+        buffered = BufferedResponse(response.status(), headers, gateway.memory.Share(authorised.organisation))
         // A faulty instance may write a refusal once more, for a request that it runs.
         if (isNotRun()) exchange?.expectRefusal()
         if (isSuccess() && authorised.route.kind == RouteKind.STREAM) {
@@ -160,7 +160,10 @@
         if (isPrefilling) finishPrefill()
         if (!isNotRun()) recordUsage()
         if (isStreaming) {
-            execution.streamChunk(piece)?.let { exchange?.fail(it) }
+            execution.streamChunk(piece)?.let { problem ->
+                if (problem == NO_MEMORY_FOR_EVENT) gateway.metrics.memoryRefused("stream")
+                exchange?.fail(problem)
+            }
         } else {
             val hasMemory = buffered?.add(piece)
             if (hasMemory == false) {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -40,7 +40,7 @@
     private var attempt: InstanceAttempt? = null
 
     /** The stream that the caller receives, from all attempts. */
-    val stream = ForwardedStream(writer, StreamShare(gateway.memory) { attempt?.setReading(it) })
+    val stream = ForwardedStream(writer, StreamShare(gateway.memory, request.organisation) { attempt?.setReading(it) })
     private var isFinished = false
     private var queueId: Long? = null
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamShare.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamShare.kt
@@ -8,16 +8,22 @@
 import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
 import io.netty.handler.codec.http.DefaultHttpContent
+import io.teaselspring.core.OrganisationId
 
-/** The bytes of one stream in [budget]. [setReading] says whether the stream's instance may send more. */
+/**
+ * The bytes of one stream of [organisation] in [budget]. [setReading] says whether the stream's instance may send
+ * more.
+ */
 internal class StreamShare(
     private val budget: ByteBudget,
+    private val organisation: OrganisationId?,
     private val setReading: (Boolean) -> Unit,
 ) {
-    private val share = budget.Share()
+    private val share = budget.Share(organisation)
     private var isWritable = true
     private var unsentBytes = 0L
     private var partialBytes = 0L
+    private var wasIdle = true
 
     /** Whether the instance may send more. */
     var isReading = true
@@ -79,7 +85,11 @@
     /** Makes the instance wait or go on, as the caller and the memory allow. */
     fun update() {
         val isIdle = unsentBytes == 0L && partialBytes <= ByteBudget.SMALL_SHARE_BYTES
-        val mayRead = isWritable && budget.mayRead(isIdle)
+        if (isIdle != wasIdle) {
+            wasIdle = isIdle
+            budget.countBusyStream(if (isIdle) -1 else 1)
+        }
+        val mayRead = isWritable && budget.mayRead(organisation, isIdle)
         if (mayRead == isReading) return
         isReading = mayRead
         setReading(mayRead)
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/StreamBudgetTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/StreamBudgetTest.kt
@@ -15,14 +15,19 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import java.net.Socket
+import java.util.concurrent.CountDownLatch
 import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
 
-private const val LIMIT_BYTES = 2L * 1024 * 1024
+private const val LIMIT_BYTES = 1024L * 1024
 private const val RESERVE_BYTES = LIMIT_BYTES / 2
 private const val STREAMS = 60
 private const val RECEIVE_BUFFER_BYTES = 64 * 1024
+private const val CONNECTIONS = 12
+private const val BODY_BYTES = 1024 * 1024
+private const val HEAD_BYTES = 40
 private const val READ_BYTES = 8 * 1024 * 1024
 
 private class EndlessStream(
@@ -52,6 +57,14 @@
 
 private const val SMALL = "small"
 
+/** Keeps all requests but small ones until [release]. */
+private fun holdingEngine(release: CountDownLatch) =
+    ScriptedUpstream { request, output ->
+        if (request.body != SMALL) release.await()
+        output.respond(request, "done")
+        ConnectionAction.KEEP
+    }
+
 /** A site whose configuration is confirmed often enough to be ready all the time. */
 private fun busySite(
     engine: ScriptedUpstream,
@@ -67,10 +80,11 @@
 private suspend fun GatewaySite.shouldServeOthers(
     memory: ByteBudget,
     calls: Int,
+    maxBytes: Long = LIMIT_BYTES + RESERVE_BYTES,
 ) = repeat(calls) {
     call(PLAIN, key = URGENT_KEY, body = SMALL) shouldContain "done"
     isReady() shouldBe true
-    memory.usedBytes shouldBeLessThanOrEqual LIMIT_BYTES + RESERVE_BYTES
+    memory.usedBytes shouldBeLessThanOrEqual maxBytes
     delay(50.milliseconds)
 }
 
@@ -99,4 +113,30 @@
                 }
             }
         }
+
+        test("requests that wait behind running ones on their connections stay within the memory") {
+            val release = CountDownLatch(1)
+            val memory = ByteBudget(2 * LIMIT_BYTES, LIMIT_BYTES)
+            withSite(busySite(holdingEngine(release), memory)) {
+                val callers = List(CONNECTIONS) { connect() }
+                coroutineScope {
+                    callers.forEach { caller ->
+                        launch {
+                            // The entry stops reading, and closes connections whose requests it has refused.
+                            runCatching {
+                                caller.getOutputStream().write(request(PLAIN, body = "held"))
+                                caller.getOutputStream().write(request(PLAIN, body = "b".repeat(BODY_BYTES), id = "r2"))
+                            }
+                        }
+                    }
+                    eventually { memory.usedBytes shouldBeGreaterThan LIMIT_BYTES }
+                    shouldServeOthers(memory, calls = 20, maxBytes = 3 * LIMIT_BYTES)
+                    release.countDown()
+                    callers.forEach { caller ->
+                        launch { caller.use { it.getInputStream().readNBytes(HEAD_BYTES).size shouldBe HEAD_BYTES } }
+                    }
+                }
+                eventually { memory.usedBytes shouldBe 0 }
+            }
+        }
     })
