--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
@@ -95,7 +95,7 @@
 
     internal val loop: EventLoop = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next() as EventLoop
     internal val nowMs: () -> Long = { System.nanoTime() / NANOS_PER_MS }
-    internal val metrics = GatewayMetrics(PrometheusRegistry())
+    internal val metrics = GatewayMetrics(PrometheusRegistry()).also { it.observe(memory) }
     internal val connections = HttpConnections(loop, nowMs, onOutOfStep = ::recordOutOfStep)
 
     /** HTTP client on the event loop. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -41,7 +41,7 @@
 
     /** The stream that the caller receives, from all attempts. */
     val stream =
-        ForwardedStream(writer, StreamShare(gateway.memory) { attempt?.setReading(it) }) {
+        ForwardedStream(writer, StreamShare(gateway.memory, request.organisation) { attempt?.setReading(it) }) {
             gateway.metrics.responded(authorised.route.name, (gateway.nowMs() - arrivedMs).milliseconds)
         }
     private var isFinished = false
