--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
@@ -268,6 +268,7 @@
     vararg upstreams: ScriptedUpstream,
     platform: FakePlatform = FakePlatform(),
     times: GatewayTimes? = null,
+    timeoutMs: Long = 5_000,
     block: suspend (List<GatewaySite>) -> Unit,
 ) {
     val sharedRows = FakeWatchedTable<SharedRow>()
@@ -280,7 +281,8 @@
             val settings = GatewaySite.testSettings().copy(instance = InstanceId("entry-$it"), assumedEntries = entries)
             GatewaySite(
                 upstreams.toList(),
-                settings = settings,
+                timeoutMs,
+                settings,
                 sharedRows = sharedRows,
                 platform = platform,
                 startedMs = startedMs,
