--- a/standins/src/main/kotlin/io/teaselspring/standins/HttpServer.kt
+++ b/standins/src/main/kotlin/io/teaselspring/standins/HttpServer.kt
@@ -33,6 +33,7 @@
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
+import kotlin.random.Random
 
 internal val json: Json = Json { encodeDefaults = true }
 
@@ -44,12 +45,14 @@
     fun stop() = server.stop(gracePeriodMillis = 0, timeoutMillis = 100)
 }
 
-/** Serves [module] on [host] and [port]; port 0 leaves the choice to the system. */
+/** Serves [module] on [host] and [port]; port 0 leaves the choice to the system. Responses [stutter]. */
 internal suspend fun startServer(
     host: String,
     port: Int,
+    stutter: Stutter = Stutter(),
     module: Application.() -> Unit,
 ): RunningServer {
+    val random = Random(stutter.seed)
     val server =
         embeddedServer(
             Netty,
@@ -64,6 +67,7 @@
                 callGroupSize = 2
                 shutdownGracePeriod = 0
                 shutdownTimeout = 100
+                channelPipelineConfig = { if (stutter.share > 0) addFirst(StutterHandler(stutter.share, random)) }
             },
         ) {
             answerBadRequests()
--- a/standins/src/main/kotlin/io/teaselspring/standins/Main.kt
+++ b/standins/src/main/kotlin/io/teaselspring/standins/Main.kt
@@ -9,6 +9,7 @@
 import com.github.ajalt.clikt.core.subcommands
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.double
 import com.github.ajalt.clikt.parameters.types.int
 import io.ktor.server.application.Application
 import io.teaselspring.standins.engine.EngineCommand
@@ -25,11 +26,16 @@
     private val host by option("--host").default("127.0.0.1")
     private val port by option("--port", help = "0 leaves the choice to the system").int().default(0)
 
+    private val stutterShare by option("--stutter-share", help = "share of responses that are joined with another")
+        .double()
+        .default(0.0)
+    private val stutterSeed by option("--stutter-seed").int().default(1)
+
     abstract fun module(): Application.() -> Unit
 
     override fun run() =
         runBlocking {
-            val server = startServer(host, port, module())
+            val server = startServer(host, port, Stutter(stutterShare, stutterSeed), module())
             println("event=listening port=${server.port}")
             awaitCancellation()
         }
--- a/standins/src/test/kotlin/io/teaselspring/standins/ServiceTest.kt
+++ b/standins/src/test/kotlin/io/teaselspring/standins/ServiceTest.kt
@@ -1,6 +1,8 @@
 package io.teaselspring.standins
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeInRange
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldNotContain
@@ -85,6 +87,28 @@
                 """{"method":"POST","path":"/bookings","executions":1,"request_id":"r2"}"""
         }
 
+        test(
+            "a stuttering service breaks responses off at any byte, goes on with another, and has run all",
+        ) {
+            val service = PlainService(ServiceSettings(), Clock.System) { throw Crashed() }
+            val stuttering = startServer("127.0.0.1", 0, Stutter(share = 0.5, seed = 3)) { plainService(service) }
+            val responses =
+                List(40) { index ->
+                    Socket("127.0.0.1", stuttering.port).use {
+                        it.soTimeout = 10_000
+                        val fields = "Host: x\r\nX-Request-Id: s$index\r\nConnection: close\r\nContent-Length: 2"
+                        it.getOutputStream().write("POST /bookings HTTP/1.1\r\n$fields\r\n\r\n{}".toByteArray())
+                        it.getInputStream().readAllBytes().decodeToString()
+                    }
+                }
+            stuttering.stop()
+            val joined = responses.filter { "HTTP/1.1 500" in it }
+            joined.size shouldBeInRange 10..30
+            joined.map { it.indexOf("HTTP/1.1 500") }.distinct().size shouldBeGreaterThan 5
+            responses.filter { it !in joined }.forEach { it shouldContain "\"executions\":1" }
+            service.journal().executions shouldBe 40
+        }
+
         test("reads are counted but not recorded") {
             client.get("http://127.0.0.1:${server.port}/stock/a%2Fb").bodyAsText() shouldBe
                 """{"method":"GET","path":"/stock/a%2Fb","executions":1,"request_id":null}"""
