--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
@@ -33,7 +33,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Receives the response of an exchange. One of [notSent], [refused], [end] and [broken] is called, as the last call. */
+/** Receives the response of an exchange. The last call is one of [notSent], [refused], [end] and [broken]. */
 internal interface ExchangeListener {
     /** The connection could not be opened, and no byte of the request has been sent. */
     fun notSent(reason: String)
@@ -203,7 +203,13 @@
             onConnected = { exchange.onConnected(it, request, listener) },
             onFailed = {
                 val reason = it?.message ?: "cancelled"
-                if (!exchange.isCancelled) if (it.isRefusal()) listener.refused(reason) else listener.notSent(reason)
+                if (!exchange.isCancelled) {
+                    if (it.isRefusal()) {
+                        listener.refused(reason)
+                    } else {
+                        listener.notSent(reason)
+                    }
+                }
             },
         )
         return exchange
