Take an unknown success of a write for ambiguous

The platform client called a write that was answered 201 in place of 200 unavailable, that is not applied, though a success says that it was. Such a write is now ambiguous, as an undecodable success is.

--- a/ports/src/main/kotlin/io/teaselspring/ports/HttpPlatform.kt
+++ b/ports/src/main/kotlin/io/teaselspring/ports/HttpPlatform.kt
@@ -131,10 +131,19 @@
         failedIndex: Int? = null,
     ): PlatformError = PlatformError.Conflict(step, peer, detail, failedIndex)
 
+    /** A write is ambiguous after a success that its interface does not know: it may have been applied. */
     fun unexpectedStatus(
         step: String,
         response: PlatformResponse,
-    ): PlatformError = PlatformError.Unavailable(step, peer, "status ${response.status}")
+    ): PlatformError {
+        val detail = "status ${response.status}"
+        val mayBeApplied = response.isWrite && HttpStatusCode.fromValue(response.status).isSuccess()
+        return if (mayBeApplied) {
+            PlatformError.Ambiguous(step, peer, detail)
+        } else {
+            PlatformError.Unavailable(step, peer, detail)
+        }
+    }
 
     /** A write is ambiguous if its response cannot be decoded: it was applied, but its result is unknown. */
     fun undecodableResponse(
