Read load reports that state a work time

Instances on shared machines add a fourth figure to their load reports: how long work takes there now. The report was accepted only with exactly three figures, so on such an upstream running and waiting requests and the slots of an instance were unknown. Ruled out: acting on each work time, which is stale on arrival and the same for all entries.

--- a/core/src/main/kotlin/io/teaselspring/core/placement/KnownLoad.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/KnownLoad.kt
@@ -8,13 +8,6 @@
 import kotlin.math.exp
 import kotlin.math.sqrt
 
-/** Load that an instance reports with a response: requests running and waiting, and its slots. */
-public data class ReportedLoad(
-    val running: Int,
-    val waiting: Int,
-    val slots: Int,
-)
-
 /** What one entry knows of the requests on one instance. Times are monotonic milliseconds. */
 public class KnownLoad {
     /** Requests of this entry that run or wait on the instance. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -12,7 +12,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
 import io.teaselspring.core.placement.PromptPart
-import io.teaselspring.core.placement.ReportedLoad
+import io.teaselspring.core.placement.parseLoadReport
 import io.teaselspring.core.routing.RouteKind
 import io.teaselspring.daemon.http.BodyFraming
 import io.teaselspring.daemon.http.Exchange
@@ -20,6 +20,9 @@
 import io.teaselspring.daemon.http.MAX_BUFFERED_BODY_BYTES
 import io.teaselspring.daemon.http.OutgoingRequest
 import io.teaselspring.daemon.http.bodyFraming
+import org.slf4j.LoggerFactory
+
+private val log = LoggerFactory.getLogger("io.teaselspring.daemon.gateway")
 
 /** Skips validation: the headers come from the HTTP decoder, which has validated them. */
 private val uncheckedHeaders = DefaultHttpHeadersFactory.headersFactory().withValidation(false)
@@ -125,7 +128,7 @@
     override fun head(response: HttpResponse) {
         val now = gateway.nowMs()
         instance.recordActivity(now)
-        parseLoad(response.headers()[names.load])?.let { instance.load.record(it, now) }
+        response.headers()[names.load]?.let { recordLoad(it, now) }
         // Another process that answers at the address of the instance says nothing about the instance.
         if (response.status() != HttpResponseStatus.MISDIRECTED_REQUEST) {
             val isChanged = instance.recordLimit(response.headers().getAll(names.requestLimit), startedMs, now)
@@ -154,6 +157,18 @@
         }
     }
 
+    private fun recordLoad(
+        header: String,
+        nowMs: Long,
+    ) {
+        val report = parseLoadReport(header)
+        if (report == null) {
+            log.debug("event=load_report_unreadable instance={} header=\"{}\"", instance.registered.id, header)
+        } else {
+            instance.load.record(report, nowMs)
+        }
+    }
+
     override fun body(piece: ByteBuf) {
         if (!piece.isReadable) return
         instance.recordActivity(gateway.nowMs())
@@ -277,14 +292,8 @@
         instance.requestEnded(unsharedTokens)
     }
 
-    private fun parseLoad(header: String?): ReportedLoad? {
-        val numbers = header?.split(',')?.mapNotNull { it.trim().toIntOrNull() } ?: return null
-        return if (numbers.size == LOAD_FIELDS) ReportedLoad(numbers[0], numbers[1], numbers[2]) else null
-    }
-
     private companion object {
         const val MAX_PRIORITY_VALUE = 9
         const val LAST_EVENT_ID = "Last-Event-Id"
-        const val LOAD_FIELDS = 3
     }
 }
