Decode the properties of upstreams from the configuration

Warm-up limits and the figures of model engines (memory, bytes a token, link, copies, backups) are needed by the decisions to come and were skipped.

--- a/core/src/main/kotlin/io/teaselspring/core/routing/RoutingConfig.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/routing/RoutingConfig.kt
@@ -95,7 +95,10 @@
     public val routes: List<RequestRoute>,
     public val organisations: List<CallerOrganisation>?,
     public val limits: CallerLimits = CallerLimits(),
+    upstreams: List<UpstreamProperties> = emptyList(),
 ) {
+    private val propertiesByUpstream = upstreams.associateBy { it.name }
+
     private val routesByHost =
         routes.groupBy { it.host }.mapValues { (_, all) ->
             all.sortedByDescending { it.prefix.length }
@@ -106,6 +109,9 @@
     /** Whether requests on routes that are not public need a key. */
     public val requiresKeys: Boolean get() = organisations != null
 
+    /** The properties of [upstream], null if the configuration states none. */
+    public fun propertiesOf(upstream: UpstreamName): UpstreamProperties? = propertiesByUpstream[upstream]
+
     /** The organisation with [key], null if none has it. */
     public fun organisation(key: String?): CallerOrganisation? = key?.let { organisationsByKey[it] }
 
