--- a/core/src/main/kotlin/io/teaselspring/core/placement/KnownLoad.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/KnownLoad.kt
@@ -23,6 +23,10 @@
         private set
     private var reportedAtMs = 0L
 
+    /** Whether the instance has stated how long work takes on its machine. */
+    public var statesWorkTime: Boolean = false
+        private set
+
     /** Requests of other entries at the time of [lastReport]. */
     internal var otherRequests = 0
         private set
@@ -47,6 +51,7 @@
         otherRequests = maxOf(0, report.running + report.waiting - ownRequests)
         reportedAtMs = nowMs
         lastReport = report
+        if (report.workTimePct != null) statesWorkTime = true
     }
 
     /** The age of [lastReport] at [nowMs]. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
@@ -83,7 +83,11 @@
             if (isDispatching || queue.size == 0) return
             isDispatching = true
             val now = nowMs()
-            val views = instances.available(upstream).associate { it.registered.id to UpstreamInstanceView(it, now) }
+            val isTimed = instances.isTimed(upstream)
+            val views =
+                instances
+                    .available(upstream)
+                    .associate { it.registered.id to UpstreamInstanceView(it, now, isTimed) }
             val expired =
                 queue.dispatch(now, views.values.toList(), groupCount) { start ->
                     val view = views.getValue(start.instance)
@@ -118,6 +122,7 @@
 private class UpstreamInstanceView(
     val instance: UpstreamInstance,
     private val nowMs: Long,
+    override val isTimed: Boolean,
 ) : InstanceView {
     override val id: InstanceId get() = instance.registered.id
     override val isEjected: Boolean = instance.isEjected(nowMs, STREAM_STALL_MS)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -210,6 +210,9 @@
         return staying.minOfOrNull { it.stated.pausedUntilMs - now }?.milliseconds
     }
 
+    /** Whether an instance of [upstream] has stated how long work takes on its machine. */
+    fun isTimed(upstream: UpstreamName): Boolean = byUpstream[upstream].orEmpty().any { it.load.statesWorkTime }
+
     fun all(): Collection<UpstreamInstance> = byId.values
 
     fun apply(changes: List<RegistryChange>) {
