--- a/core/src/main/kotlin/io/teaselspring/core/placement/KnownLoad.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/KnownLoad.kt
@@ -8,13 +8,6 @@
 import kotlin.math.exp
 import kotlin.math.sqrt
 
-/** Load that an instance reports with a response: requests running and waiting, and its slots. */
-public data class ReportedLoad(
-    val running: Int,
-    val waiting: Int,
-    val slots: Int,
-)
-
 /** What one entry knows of the requests on one instance. Times are monotonic milliseconds. */
 public class KnownLoad {
     /** Requests of this entry that run or wait on the instance. */
@@ -30,6 +23,10 @@
         private set
     private var reportedAtMs = 0L
 
+    /** Whether the instance has stated how long work takes on its machine. */
+    public var statesWorkTime: Boolean = false
+        private set
+
     /** Requests of other entries at the time of [lastReport]. */
     internal var otherRequests = 0
         private set
@@ -54,6 +51,7 @@
         otherRequests = maxOf(0, report.running + report.waiting - ownRequests)
         reportedAtMs = nowMs
         lastReport = report
+        if (report.workTimePct != null) statesWorkTime = true
     }
 
     /** The age of [lastReport] at [nowMs]. */
