Let requests leave their data centre where that pays, within its free slots

Requests without a prompt went to the least loaded instance, with a fixed cost of 0.05 of a batch for another data centre, and the queue for prompts did not look at data centres. For timed upstreams the entry now weighs the round trip and the bytes against the expected time at home, and sends at most its part of the slots that are free elsewhere. Placement of prompts gets the cost in ms. Other upstreams are chosen as before.

--- a/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
@@ -13,6 +13,7 @@
  * An instance that may be chosen. [load] is this entry's estimate of its running and waiting requests.
  * [pendingPrefillTokens] is the number of prompt tokens of the requests that this entry has sent there and that have
  * not produced a first token yet. [hasPermit] is false while a limit that the instance states permits no request.
+ * [ownRequests] are those of this entry in [load], and [speed] is relative to the mean of the upstream.
  */
 public data class PlacementCandidate(
     val id: InstanceId,
@@ -22,6 +23,8 @@
     val pendingPrefillTokens: Long,
     val isEjected: Boolean,
     val hasPermit: Boolean = true,
+    val ownRequests: Int = 0,
+    val speed: Double = 1.0,
 )
 
 /**
@@ -47,7 +50,8 @@
 /**
  * Chooses one of [candidates], or returns null if all that have a permit are in [tried]. A request without a shared
  * part goes to the least loaded instance, as does one for which every instance is over a threshold of [policy].
- * [random] returns a uniformly distributed non-negative integer below its argument.
+ * [random] returns a uniformly distributed non-negative integer below its argument. With [leaving], a request without a
+ * shared part leaves its data centre only where that pays.
  */
 public fun chooseInstance(
     candidates: List<PlacementCandidate>,
@@ -55,13 +59,18 @@
     tried: Set<InstanceId>,
     random: (Int) -> Int,
     policy: PlacementPolicy = PlacementPolicy(),
+    leaving: LeavingContext? = null,
 ): PlacementCandidate? {
     val untried = candidates.filter { it.id !in tried && it.hasPermit }
     val healthy = untried.filter { !it.isEjected }.ifEmpty { untried }
     val partition = partitionInstances(candidates.map { it.id }, request.group.count)
     val pool = instancesFor(request.group, healthy, partition) { it.id }
     if (pool.size <= 1) return pool.firstOrNull()
-    val part = request.sharedPart ?: return leastLoaded(pool, request.localDataCentre, random)
+    val part = request.sharedPart
+    if (part == null && leaving != null) {
+        return chooseAcrossDataCentres(pool, leaving) { random(RANDOM_STEPS) / RANDOM_STEPS.toDouble() }
+    }
+    if (part == null) return leastLoaded(pool, request.localDataCentre, random)
     val maxLoad = pool.sumOf { it.load } / pool.size * policy.spillRatio + policy.spillSlack
     val ranked = pool.sortedByDescending { rendezvousWeight(part, it.id) }
     return ranked.firstOrNull { it.load <= maxLoad && it.pendingPrefillTokens <= policy.spillPrefillTokens }
@@ -98,6 +107,7 @@
 /** Cost of an instance in another data centre, in full batches. */
 private const val REMOTE_COST = 0.05
 
+private const val RANDOM_STEPS = 1 shl 20
 private const val FNV_OFFSET = -3750763034362895579L
 private const val FNV_PRIME = 1099511628211L
 private const val MIX_1 = -49064778989728563L
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
@@ -9,6 +9,7 @@
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.OrganisationId
 import io.teaselspring.core.UpstreamName
+import io.teaselspring.core.placement.LeavingPolicy
 import io.teaselspring.core.retry.RetryBudget
 
 /**
@@ -17,7 +18,7 @@
  * while it is younger than [certainMs], and the entry is ready only while it is younger than [readyMs]. The retry
  * budget of an entry is [retrySharePct] percent of its successful requests in a window of [retryWindowMs], and at least
  * its share of [retryMinimum], which applies to all entries together. [assumedEntries] is the number of entries until
- * the real number is known.
+ * the real number is known. [leaving] says what it costs to send requests to another data centre.
  */
 data class GatewaySettings(
     val instance: InstanceId,
@@ -30,6 +31,7 @@
     val retryMinimum: Int = 25,
     val retryWindowMs: Long = 10_000,
     val assumedEntries: Int = 10,
+    val leaving: LeavingPolicy = LeavingPolicy(),
 )
 
 /** Shared state of one entry. */
@@ -49,7 +51,8 @@
     val metrics: GatewayMetrics = runtime.metrics
     val memory: ByteBudget = runtime.memory
     val limits: RequestLimits get() = instances.limits
-    val queues = StreamQueues(loop, nowMs, instances, entryCount, readMemory)
+    val leaving = LeavingCosts(settings.dataCentre, entryCount, instances::isTimed, settings.leaving)
+    val queues = StreamQueues(loop, nowMs, instances, entryCount, readMemory, leaving)
     val permits = PermitQueue(loop, nowMs)
     private val budgets = HashMap<UpstreamName, RetryBudget>()
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
@@ -28,6 +28,13 @@
             .help("Offers to upstream instances by upstream and outcome")
             .labelNames("upstream", "outcome")
             .register(registry)
+    private val dataCentreAttempts =
+        Counter
+            .builder()
+            .name("teaselspring_data_centre_attempts_total")
+            .help("Offers to instances by upstream, data centre of the instance, and whether that is the entry's own")
+            .labelNames("upstream", "data_centre", "place")
+            .register(registry)
     private val responseEnds =
         Counter
             .builder()
@@ -143,6 +150,12 @@
         outcome: String,
     ) = attempts.labelValues(upstream, outcome).inc()
 
+    fun dataCentreAttempt(
+        upstream: String,
+        dataCentre: String,
+        isLocal: Boolean,
+    ) = dataCentreAttempts.labelValues(upstream, dataCentre, if (isLocal) "local" else "remote").inc()
+
     fun responseEnded(
         upstream: String,
         framing: String,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -43,6 +43,7 @@
     private val unsharedTokens = prompt.lastOrNull()?.tokens ?: 0
     private var startedMs = 0L
     private var method = HttpMethod.GET
+    private var exchangedBytes = 0
     private var exchange: Exchange? = null
     private var buffered: BufferedResponse? = null
     private var isStreaming = false
@@ -63,7 +64,11 @@
         val now = gateway.nowMs()
         startedMs = now
         method = request.method
+        exchangedBytes = request.body.readableBytes()
         instance.requestStarted(unsharedTokens, now)
+        val dataCentre = instance.registered.dataCentre
+        val isLocal = dataCentre == gateway.settings.dataCentre
+        gateway.metrics.dataCentreAttempt(authorised.upstream.value, dataCentre.value, isLocal)
         if (instance.limit.perSecond != null) gateway.metrics.limitedAttempt(authorised.upstream.value)
         instance.pendingPrefillTokens += prefillTokens
         val outgoing =
@@ -171,6 +176,7 @@
 
     override fun body(piece: ByteBuf) {
         if (!piece.isReadable) return
+        exchangedBytes += piece.readableBytes()
         instance.recordActivity(gateway.nowMs())
         if (isPrefilling) finishPrefill()
         if (!isNotRun()) recordUsage()
@@ -231,6 +237,7 @@
 
     private fun recordSuccess() {
         gateway.metrics.attempt(authorised.upstream.value, "answered")
+        gateway.leaving.record(authorised.upstream, gateway.nowMs() - startedMs, exchangedBytes)
         instance.recordSuccess()
     }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
@@ -57,6 +57,7 @@
             PlacementRequest(prefixId, authorised.group, settings.dataCentre),
             tried,
             randomBelow,
+            leaving = leaving.contextFor(authorised.upstream, available),
         )
     return chosen?.let { candidate -> available.firstOrNull { it.registered.id == candidate.id } }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
@@ -33,6 +33,7 @@
     private val instances: UpstreamInstances,
     private val entryCount: () -> Int,
     private val readMemory: (UpstreamInstance) -> Unit,
+    private val leaving: LeavingCosts,
 ) {
     private val queues = HashMap<UpstreamName, UpstreamQueue>()
     private var lastId = 0L
@@ -83,11 +84,7 @@
             if (isDispatching || queue.size == 0) return
             isDispatching = true
             val now = nowMs()
-            val isTimed = instances.isTimed(upstream)
-            val views =
-                instances
-                    .available(upstream)
-                    .associate { it.registered.id to UpstreamInstanceView(it, now, isTimed) }
+            val views = views(now)
             val expired =
                 queue.dispatch(now, views.values.toList(), groupCount) { start ->
                     val view = views.getValue(start.instance)
@@ -100,6 +97,15 @@
             if (queue.size > 0) schedule()
         }
 
+        private fun views(nowMs: Long): Map<InstanceId, UpstreamInstanceView> {
+            val available = instances.available(upstream)
+            val isTimed = instances.isTimed(upstream)
+            val costMs = if (isTimed) leaving.costsMs(upstream, available) else { _ -> 0.0 }
+            return available.associate {
+                it.registered.id to UpstreamInstanceView(it, nowMs, isTimed, costMs(it))
+            }
+        }
+
         private fun schedule() {
             if (isScheduled) return
             isScheduled = true
@@ -123,6 +129,7 @@
     val instance: UpstreamInstance,
     private val nowMs: Long,
     override val isTimed: Boolean,
+    override val leavingCostMs: Double,
 ) : InstanceView {
     override val id: InstanceId get() = instance.registered.id
     override val isEjected: Boolean = instance.isEjected(nowMs, STREAM_STALL_MS)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -168,6 +168,7 @@
             pendingPrefillTokens,
             isEjected(nowMs, stallMs),
             limit.hasPermit(nowMs),
+            load.ownRequests,
         )
 
     /** Whether the instance is ejected, or has requests of this entry and has sent nothing for [stallMs]. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
@@ -142,6 +142,7 @@
         onFailed: (Throwable?) -> Unit,
     ) {
         val connection = HttpConnection(server)
+        val startedMs = nowMs()
         val future =
             Bootstrap()
                 .group(loop)
@@ -165,7 +166,12 @@
                 ).connect(server.socketAddress)
         future.addListener(
             ChannelFutureListener {
-                if (it.isSuccess) onConnected(connection) else onFailed(it.cause())
+                if (it.isSuccess) {
+                    server.recordConnect(nowMs() - startedMs)
+                    onConnected(connection)
+                } else {
+                    onFailed(it.cause())
+                }
             },
         )
     }
@@ -180,6 +186,15 @@
 
     val socketAddress: InetSocketAddress = socketAddressOf(address)
 
+    /** Moving average of the time to open a connection, about one round trip; null before the first. */
+    var connectMs: Double? = null
+        private set
+
+    internal fun recordConnect(durationMs: Long) {
+        val mean = connectMs
+        connectMs = if (mean == null) durationMs.toDouble() else mean + (durationMs - mean) * CONNECT_WEIGHT
+    }
+
     /** Sends [request] on the most recently used idle connection, or on a new one if none is usable. */
     fun send(
         request: OutgoingRequest,
@@ -239,6 +254,10 @@
     fun closeExpired(nowMs: Long) {
         idle.filter { !it.isUsable(nowMs) }.forEach { it.close() }
     }
+
+    private companion object {
+        const val CONNECT_WEIGHT = 0.2
+    }
 }
 
 /** An exchange on a new connection. It starts once the connection is open, unless it was cancelled before. */
