Send no request on a connection that opens after its instance left

Cause: a request was sent as soon as its new connection was open, also if the instance had said in a response to another request meanwhile that it is leaving, or wants a pause. With a slow connect or a paused process that can be long after.

Test: the entry's event loop stands still while a second request and the response "leaving" to the first arrive, so that the second attempt is chosen before and its connection opens after the statement.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -85,6 +85,9 @@
         return true
     }
 
+    /** Whether a request that was chosen for the instance earlier may still be sent. */
+    fun mayStillGet(nowMs: Long): Boolean = stated.at(nowMs) == Availability.OPEN
+
     /** Whether the instance may get one more request by what it has said. */
     fun admitsRequest(nowMs: Long): Boolean = stated.admits(load.ownRequests, registered.slots, nowMs)
 
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
@@ -194,6 +194,9 @@
     /** Lets the entry get a response of the store. */
     suspend fun probeStore() = withContext(loopDispatcher) { observeStore(System.nanoTime() / NANOS_PER_MS) }
 
+    /** Runs [block] on the entry's event loop, which does nothing else meanwhile. */
+    suspend fun <T> onLoop(block: () -> T): T = withContext(loopDispatcher) { block() }
+
     /** Drains the entry gracefully. */
     suspend fun drain() = running.drain()
 
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/InstanceStatementsTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/InstanceStatementsTest.kt
@@ -18,11 +18,15 @@
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.registry.RegisteredInstance
 import io.teaselspring.daemon.eventually
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import java.io.OutputStream
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.atomic.AtomicInteger
 
 private const val LEAVING = "X-Leaving: 1\r\n"
 private const val NANOS_PER_MS = 1_000_000L
+private const val BUFFER_BYTES = 64 * 1024
 
 private fun sound() =
     ScriptedUpstream { request, output ->
@@ -73,6 +77,39 @@
             }
         }
 
+        test("a request whose connection opens after the instance has said that it is leaving is not sent") {
+            val mayAnswer = CountDownLatch(1)
+            val hasAnswered = CountDownLatch(1)
+            val leaving =
+                ScriptedUpstream { request, output ->
+                    mayAnswer.await()
+                    output.respond(request, extra = LEAVING)
+                    hasAnswered.countDown()
+                    ConnectionAction.KEEP
+                }
+            withGateway(leaving) {
+                connect().use { caller ->
+                    caller.getOutputStream().write(request("/unknown/"))
+                    caller.getInputStream().read(ByteArray(BUFFER_BYTES))
+                    coroutineScope {
+                        val first = async { call(PLAIN) }
+                        eventually { leaving.requests.value.size shouldBe 1 }
+                        // The entry reads the second request, then the response to the first, then opens a connection.
+                        onLoop {
+                            caller.getOutputStream().write(request(PLAIN, id = "r2"))
+                            mayAnswer.countDown()
+                            hasAnswered.await()
+                        }
+                        first.await() shouldStartWith "HTTP/1.1 200"
+                    }
+                    val bytes = ByteArray(BUFFER_BYTES)
+                    val length = caller.getInputStream().read(bytes)
+                    bytes.decodeToString(0, length) shouldStartWith "HTTP/1.1 503"
+                }
+                leaving.requests.value.size shouldBe 1
+            }
+        }
+
         test("a new process under the id of an instance that has left gets requests") {
             val isLeaving = AtomicInteger(1)
             val instance =
