Keep the limit of cold engines by leased shares

A cold engine takes few requests a second from all entries together. ColdState holds what one entry knows of its warm-up; InstanceLimit gives a cold instance the limit of its upstream's warm-up, by the same leased shares as a stated limit.

The bound of 1.5 times the limit and 5 requests in any second asks for more than the limiter for stated limits gives, whose bound is four seconds long: a cold instance has at most 5 holders of shares (each may have saved a request), shares of a higher limit that was in force before are dropped, first shares are equal, and entries without the store send a tenth of the limit together in place of half. About 20 entries claim at first, so that 330 entries don't read the rows of all engines of a returning data centre at once.

--- a/core/src/main/kotlin/io/teaselspring/core/limit/InstanceLimit.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/limit/InstanceLimit.kt
@@ -1,50 +1,18 @@
 /*
- * Whether one entry may send a request to one instance that states a rate limit. The entry sends at the rate of its
- * leased share of the limit ([RateShares]), by a token bucket that holds one request. Without the store it falls back
- * to a small part of the limit, in short slots at a random phase, which needs no agreement.
+ * Whether one entry may send a request to one instance that states a rate limit, or that is cold and has the limit of
+ * its upstream's warm-up. The entry sends at the rate of its leased share of the limit ([RateShares]), by a token
+ * bucket that holds one request. Without the store it falls back to a small part of the limit ([StandaloneSlots]).
  */
 package io.teaselspring.core.limit
 
+import io.teaselspring.core.routing.WarmUp
 import kotlin.random.Random
 
-/**
- * Times and rates of shares. A share lasts [leaseMs] after its write was sent; its holder stops [safetyMs] sooner,
- * which covers the error of the store's clock, and renews it every [renewMs]. An entry whose last request for the
- * instance's upstream came more than [idleMs] ago does not renew. While all shares are taken, an entry tries again
- * after [retryMs] to twice that, and after [retryMsPerEntry] for each entry if that is longer. If there are more
- * entries than shares, a holder gives its share up after [tenureMs]. A write that lost a race is repeated after
- * [conflictMs], doubled each time. A limit below [minPerSecond] counts as that, so that some request finds out when
- * the limit ends. Without the store for [leaseMs], all entries together send at most [standaloneFraction] of the
- * limit, each in slots of [slotMs].
- */
-public data class LimitPolicy(
-    val leaseMs: Long = 8_000,
-    val safetyMs: Long = 500,
-    val renewMs: Long = 3_500,
-    val idleMs: Long = 3_000,
-    val retryMs: Long = 1_500,
-    val retryMsPerEntry: Long = 20,
-    val firstClaimMsPerEntry: Long = 10,
-    val conflictMs: Long = 40,
-    val tenureMs: Long = 10_000,
-    val minPerSecond: Double = 0.25,
-    val standaloneFraction: Double = 0.5,
-    val slotMs: Long = 500,
-)
-
-/** A row to write in order to get or give up a share. */
-public data class ShareClaim(
-    val row: RateShares,
-    val share: RateShare?,
-)
-
-/** How a claim ended without a share. */
-public enum class ClaimFailure { CONFLICT, UNAVAILABLE }
-
 /**
  * The limit of one instance as the entry [holder], one of [entries], knows and keeps it. [demand] is the rate of the
- * requests for the instance's upstream at this entry, which has [instances] instances. Times are monotonic milliseconds
- * unless they are said to be the store's. Not thread-safe.
+ * requests for the instance's upstream at this entry, which has [instances] instances and the [warmUp] of the
+ * configuration in force. [onColdChanged] gets the limit when the instance begins to count as cold, and null when it is
+ * warm. Times are monotonic milliseconds unless they are said to be the store's. Not thread-safe.
  */
 public class InstanceLimit(
     private val holder: String,
@@ -53,6 +21,8 @@
     private val entries: () -> Int,
     private val random: Random = Random.Default,
     private val policy: LimitPolicy = LimitPolicy(),
+    private val warmUp: () -> WarmUp? = { null },
+    private val onColdChanged: (perSecond: Double?) -> Unit = {},
 ) {
     private class HeldShare(
         val perSecond: Double,
@@ -62,6 +32,10 @@
     )
 
     private val stated = StatedLimit()
+    private var coldPerSecond: Double? = null
+
+    /** What is known of the instance's warm-up. */
+    public val cold: ColdState = ColdState()
     private var held: HeldShare? = null
     private var tokens = 0.0
     private var tokensAtMs = 0L
@@ -70,12 +44,15 @@
 
     /** When claims began to fail because the store did not answer; null while it does. */
     private var storeLostAtMs: Long? = null
-    private var nextSlotMs = 0L
+    private val slots = StandaloneSlots(policy.slotMs, random)
     private var conflicts = 0
     private var nextAnnouncementMs = 0L
 
-    /** Requests a second that the instance takes from all entries together, or null while it states no limit. */
-    public val perSecond: Double? get() = stated.perSecond
+    /** Requests a second that the instance takes from all entries together, or null while it has no limit. */
+    public val perSecond: Double? get() = listOfNotNull(stated.perSecond, coldPerSecond).minOrNull()
+
+    /** Time for which the instance counts as cold, 0 if it is warm. */
+    public fun coldLeftMs(nowMs: Long): Long = cold.leftMs(nowMs, warmUp())
 
     /** Records the limit's [headers] of a response to a request sent at [sentAtMs]; see [StatedLimit.record]. */
     public fun recordResponse(
@@ -120,22 +97,35 @@
     ) {
         refill(nowMs)
         val before = perSecond
+        val wasCold = isCold
         action()
-        if (before == null && perSecond != null) {
+        // A share of the limit that the instance stated before it became cold may come with too many other holders.
+        val begins = before == null || (isCold && !wasCold)
+        if (begins && perSecond != null) {
             held = null
             storeLostAtMs = null
             conflicts = 0
-            // Entries learn of a limit at about the same time; their claims would conflict with each other.
-            nextClaimMs = nowMs + random.nextLong(policy.firstClaimMsPerEntry * entries() + 1)
-            nextSlotMs = nowMs + policy.leaseMs + (random.nextDouble() * standaloneIntervalMs()).toLong()
+            nextClaimMs = nowMs + policy.firstClaimDelayMs(entries(), isCold, random)
+            slots.start(nowMs + policy.leaseMs, standaloneIntervalMs())
         }
     }
 
+    private val isCold: Boolean get() = coldPerSecond != null
+
+    /** Applies the limit of a cold instance, and ends it once the instance is warm. */
+    private fun updateCold(nowMs: Long) {
+        val current = warmUp()?.requestsPerSecond?.takeIf { coldLeftMs(nowMs) > 0 }
+        if (current == coldPerSecond) return
+        change(nowMs) { coldPerSecond = current }
+        onColdChanged(current)
+    }
+
     /** The rate at which this entry may send under its share, or null without a valid one. */
     public fun sharePerSecond(nowMs: Long): Double? = if (isShareValid(nowMs)) shareRate() else null
 
     /** Whether the limit permits this entry to send a request now. */
     public fun hasPermit(nowMs: Long): Boolean {
+        updateCold(nowMs)
         if (perSecond == null) return true
         refill(nowMs)
         return if (isShareValid(nowMs)) tokens >= 1 else isInSlot(nowMs)
@@ -145,13 +135,13 @@
     public fun requestStarted(nowMs: Long) {
         if (perSecond == null) return
         refill(nowMs)
-        if (isShareValid(nowMs)) tokens -= 1 else nextSlotMs += standaloneIntervalMs()
+        if (isShareValid(nowMs)) tokens -= 1 else slots.use(standaloneIntervalMs())
     }
 
     /** Estimates the time until this entry may send a request; 0 if it may now. */
     public fun waitMs(nowMs: Long): Long {
-        val limit = effectiveLimit() ?: return 0
         if (hasPermit(nowMs)) return 0
+        val limit = effectiveLimit() ?: return 0
         val rate = shareRate()
         return if (isShareValid(nowMs) && rate > 0) {
             ((1 - tokens) / rate * MS_PER_S).toLong()
@@ -161,8 +151,10 @@
     }
 
     /** Whether the row of shares is to be read now, for [claim]. */
-    public fun isClaimDue(nowMs: Long): Boolean =
-        perSecond != null && !isClaiming && nowMs >= nextClaimMs && demand.idleMs(nowMs) <= policy.idleMs
+    public fun isClaimDue(nowMs: Long): Boolean {
+        updateCold(nowMs)
+        return perSecond != null && !isClaiming && nowMs >= nextClaimMs && demand.idleMs(nowMs) <= policy.idleMs
+    }
 
     /** Records that the row is being read for [claim]. */
     public fun claimStarted() {
@@ -180,7 +172,7 @@
     ): ShareClaim? {
         val limit = effectiveLimit() ?: return null.also { isClaiming = false }
         val shares = row?.validAt(limit, storeMs).orEmpty()
-        val most = maxHolders(limit)
+        val most = policy.mostHolders(limit, isCold)
         // After a fall of the limit there may be more holders than it allows; the first ones keep their shares.
         val position = shares.indexOfFirst { it.holder == holder }.takeIf { it >= 0 } ?: shares.size
         if (position >= most) {
@@ -199,7 +191,9 @@
                 ShareClaim(RateShares(limit, shares.filter { it.holder != holder }), null)
             } else {
                 val mean = demand.perSecondAt(nowMs) / maxOf(1, instances())
-                val wanted = maxOf(mean * DEMAND_MARGIN, policy.minPerSecond)
+                // A cold instance may be warm before shares are renewed, so the first ones are equal.
+                val least = if (isCold) limit / minOf(most, entries()) else policy.minPerSecond
+                val wanted = if (isCold && held == null) least else maxOf(mean * DEMAND_MARGIN, least)
                 val share = fairShare(holder, wanted, limit, shares, storeMs + policy.leaseMs)
                 ShareClaim(RateShares(limit, shares.with(share)), share)
             }
@@ -247,7 +241,7 @@
     ) {
         isClaiming = false
         val isConflict = failure == ClaimFailure.CONFLICT
-        nextClaimMs = nowMs + if (isConflict) jitter(policy.conflictMs shl conflicts) else retryDelayMs()
+        nextClaimMs = nowMs + if (isConflict) random.jitter(policy.conflictMs shl conflicts) else retryDelayMs()
         if (isConflict) {
             conflicts = minOf(conflicts + 1, MAX_DOUBLINGS)
             storeLostAtMs = null
@@ -256,9 +250,7 @@
         }
     }
 
-    private fun retryDelayMs() = jitter(maxOf(policy.retryMs, policy.retryMsPerEntry * entries()))
-
-    private fun jitter(ms: Long) = ms + random.nextLong(ms)
+    private fun retryDelayMs() = policy.retryDelayMs(entries(), random)
 
     private fun effectiveLimit() = perSecond?.let { maxOf(it, policy.minPerSecond) }
 
@@ -282,16 +274,11 @@
     private fun isInSlot(nowMs: Long): Boolean {
         val lostAtMs = storeLostAtMs
         if (lostAtMs == null || nowMs - lostAtMs < policy.leaseMs) return false
-        // A slot that has passed is lost: entries that were idle together must not send together.
-        val intervalMs = standaloneIntervalMs()
-        if (nowMs >= nextSlotMs + policy.slotMs) {
-            nextSlotMs += ((nowMs - nextSlotMs) / intervalMs).coerceAtLeast(1) * intervalMs
-        }
-        return nowMs in nextSlotMs until nextSlotMs + policy.slotMs
+        return slots.isOpen(nowMs, standaloneIntervalMs())
     }
 
     private fun standaloneIntervalMs(): Long {
-        val rate = (effectiveLimit() ?: 1.0) * policy.standaloneFraction / entries()
+        val rate = (effectiveLimit() ?: 1.0) * policy.standaloneFraction(isCold) / entries()
         return (MS_PER_S / rate).toLong().coerceAtLeast(1)
     }
 
