Limit requests to cold instances, and refuse early while all are cold

The entry reads warmup_left_ms of the engines' rows and the warm-up header of responses. An instance that has just appeared without a statement, or whose host refuses connections, counts as cold. Work that has no permit goes to others, as with stated limits. If all instances of an upstream are cold and none can take a request within the target of its route, it is refused as not run with the time of the next permit.

State page warm_up_left_ms, metrics teaselspring_cold_attempts_total and teaselspring_cold_refusals_total, events instance_cold and instance_warm. Rows of shares are deleted 10 s after their instance is gone, no longer at once: on an empty row entries would take the limit a second time while others still use their shares. Rows that an entry claimed without announcing the limit are deleted as well.

--- a/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
@@ -139,6 +139,9 @@
     /** Number of waiting requests. */
     public val size: Int get() = waiting.size
 
+    /** Number of waiting requests that are as urgent as [priority] or more so. */
+    public fun sizeFor(priority: Int): Int = waiting.count { it.priority <= priority }
+
     public fun add(request: QueuedRequest) {
         waiting += request
         meanSizes.merge(request.group, request.size) { mean, size -> mean.movedTowards(size) }
--- a/core/src/main/kotlin/io/teaselspring/core/registry/InstanceRegistry.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/registry/InstanceRegistry.kt
@@ -9,7 +9,10 @@
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.UpstreamName
 
-/** An upstream instance. [startedAtMs] distinguishes restarts under one id; null if unknown. */
+/**
+ * An upstream instance. [startedAtMs] distinguishes restarts under one id; null if unknown. [warmUpLeftMs] is the time
+ * for which it stays cold after the row was written, 0 if it is warm; null if it does not say.
+ */
 public data class RegisteredInstance(
     val id: InstanceId,
     val upstream: UpstreamName,
@@ -18,6 +21,7 @@
     val slots: Int,
     val isDraining: Boolean,
     val startedAtMs: Long?,
+    val warmUpLeftMs: Long? = null,
 )
 
 /** A change of one instance from [before] to [now]; null where the registry does not list it. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
@@ -49,6 +49,20 @@
             .help("Attempts at instances that state a limit of requests a second, by upstream")
             .labelNames("upstream")
             .register(registry)
+    private val coldAttempts =
+        Counter
+            .builder()
+            .name("teaselspring_cold_attempts_total")
+            .help("Attempts at instances that counted as cold, by upstream")
+            .labelNames("upstream")
+            .register(registry)
+    private val coldRefusals =
+        Counter
+            .builder()
+            .name("teaselspring_cold_refusals_total")
+            .help("Requests refused early because all instances were cold and could take no more, by upstream")
+            .labelNames("upstream")
+            .register(registry)
     private val storeRestores =
         Counter
             .builder()
@@ -153,6 +167,10 @@
 
     fun limitedAttempt(upstream: String) = limitedAttempts.labelValues(upstream).inc()
 
+    fun coldAttempt(upstream: String) = coldAttempts.labelValues(upstream).inc()
+
+    fun coldRefused(upstream: String) = coldRefusals.labelValues(upstream).inc()
+
     fun storeRestored() = storeRestores.inc()
 
     fun responded(
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -37,6 +37,7 @@
 ) {
     private val incarnation = newIncarnation(settings.instance)
     private val usage = GatewayUsage(incarnation, runtime.clock, platform, times, settings.assumedEntries)
+    private val config = ConfigState(runtime.loop, runtime.clock)
     private val limits =
         RequestLimits(
             settings.instance,
@@ -47,12 +48,13 @@
                 estimatedMs = { platform.storeClock.nowMs(runtime.clock()) },
                 certainMs = { platform.storeClock.certainNowMs(runtime.clock()) },
             ),
+            warmUpOf = { config.current?.propertiesOf(it)?.warmUp },
         )
     private val gateway =
         Gateway(
             settings,
             runtime,
-            ConfigState(runtime.loop, runtime.clock),
+            config,
             UpstreamInstances(runtime.connections, runtime.nowMs, limits),
             usage::recordRequest,
             usage::entryCount,
@@ -267,6 +269,7 @@
                                 put("own_calls", instance.load.ownRequests)
                                 put("pending_prefill_tokens", instance.pendingPrefillTokens)
                                 put("requests_per_second_limit", instance.limit.perSecond)
+                                put("warm_up_left_ms", instance.limit.coldLeftMs(runtime.nowMs()))
                             },
                         )
                     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HeaderNames.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HeaderNames.kt
@@ -22,6 +22,7 @@
     val load: String = "X-Load",
     val requestLimit: String = "X-Request-Limit",
     val leaving: String = "X-Leaving",
+    val warmUpLeft: String = "X-Warm-Up-Left-Ms",
     val systemOnly: Set<String> = emptySet(),
 ) {
     /** Lower-case names that are not copied from a caller's request to an upstream. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -5,7 +5,6 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
@@ -64,7 +63,7 @@
         startedMs = now
         method = request.method
         instance.requestStarted(unsharedTokens, now)
-        if (instance.limit.perSecond != null) gateway.metrics.limitedAttempt(authorised.upstream.value)
+        gateway.metrics.recordLimits(instance, now)
         instance.pendingPrefillTokens += prefillTokens
         val outgoing =
             OutgoingRequest(
@@ -119,6 +118,11 @@
         if (isStreaming && !isFinished) exchange?.setReading(isWanted)
     }
 
+    override fun refused(reason: String) {
+        instance.limit.cold.recordRefused(gateway.nowMs())
+        notSent(reason)
+    }
+
     override fun notSent(reason: String) {
         finish()
         gateway.metrics.attempt(authorised.upstream.value, "not_sent")
@@ -131,15 +135,7 @@
         val now = gateway.nowMs()
         instance.recordActivity(now)
         response.headers()[names.load]?.let { recordLoad(it, now) }
-        // Another process that answers at the address of the instance says nothing about the instance.
-        if (response.status() != HttpResponseStatus.MISDIRECTED_REQUEST) {
-            val isChanged = instance.recordLimit(response.headers().getAll(names.requestLimit), startedMs, now)
-            if (isChanged) gateway.limits.changed()
-            if (names.leaving in response.headers()) instance.recordLeaving()
-            if (response.status() == HttpResponseStatus.SERVICE_UNAVAILABLE) {
-                instance.recordPause(response.headers().getAll(HttpHeaderNames.RETRY_AFTER), now)
-            }
-        }
+        gateway.recordStatements(instance, response, startedMs, now)
         framing = response.bodyFraming(method)
         val headers = uncheckedHeaders.newHeaders()
         response.headers().iteratorCharSequence().forEach { (name, value) ->
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/PermitQueue.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/PermitQueue.kt
@@ -38,6 +38,12 @@
         priority: Int,
     ): Boolean = requests.any { it.upstream == upstream && it.priority <= priority }
 
+    /** Number of waiting requests for [upstream] that are as urgent as [priority] or more so. */
+    fun sizeFor(
+        upstream: UpstreamName,
+        priority: Int,
+    ): Int = requests.count { it.upstream == upstream && it.priority <= priority }
+
     fun add(request: PermitRequest) {
         requests += request
         schedule()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -89,8 +89,8 @@
             return
         }
         if (refuseQuarantined()) return
-        gateway.pausedRetryAfter(authorised.upstream, deadlineMs)?.let { return refuse("all instances are paused", it) }
         gateway.limits.recordDemand(upstream)
+        gateway.earlyRefusal(authorised, arrivedMs, deadlineMs)?.let { return refuse(it.reason, it.retryAfter) }
         timeout = gateway.loop.schedule({ onTimeout() }, timeoutMs, TimeUnit.MILLISECONDS)
         if (prompt.isEmpty()) tryNextInstance() else enqueue()
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestLimits.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestLimits.kt
@@ -13,6 +13,7 @@
 import io.teaselspring.core.limit.LimitAnnouncement
 import io.teaselspring.core.limit.RateShares
 import io.teaselspring.core.registry.RegisteredInstance
+import io.teaselspring.core.routing.WarmUp
 import io.teaselspring.daemon.config.TABLE
 import io.teaselspring.ports.ABSENT
 import io.teaselspring.ports.PlatformError
@@ -31,6 +32,7 @@
 import org.slf4j.LoggerFactory
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private val log = LoggerFactory.getLogger("io.teaselspring.daemon.gateway")
 
@@ -49,13 +51,14 @@
     private val entryCount: () -> Int,
     private val nowMs: () -> Long,
     private val storeTimes: StoreTimes,
+    private val warmUpOf: (UpstreamName) -> WarmUp? = { null },
 ) {
     private val limits = HashMap<String, InstanceLimit>()
     private val instances = HashMap<UpstreamName, Int>()
     private val demand = HashMap<UpstreamName, ArrivalRate>()
     private val announced = HashMap<String, LimitAnnouncement>()
 
-    /** Keys of the rows that this entry was the last one to write, as far as it knows. */
+    /** Keys of the rows that this entry has written. */
     private val published = HashSet<String>()
     private val changes = Channel<Unit>(Channel.CONFLATED)
 
@@ -64,12 +67,29 @@
 
     private fun demandFor(upstream: UpstreamName) = demand.getOrPut(upstream) { ArrivalRate() }
 
-    /** The limit of [instance], which has been added or has started anew. */
-    fun add(instance: RegisteredInstance): InstanceLimit {
+    /**
+     * The limit of [instance], which has been added or has started anew, or was listed when this entry started
+     * ([isFirstRead]).
+     */
+    fun add(
+        instance: RegisteredInstance,
+        isFirstRead: Boolean,
+    ): InstanceLimit {
         val upstream = instance.upstream
         instances.merge(upstream, 1, Int::plus)
         val limit =
-            InstanceLimit(holder.value, demandFor(upstream), { instances.getValue(upstream) }, entryCount)
+            InstanceLimit(
+                holder.value,
+                demandFor(upstream),
+                { instances.getValue(upstream) },
+                entryCount,
+                warmUp = { warmUpOf(upstream) },
+                onColdChanged = {
+                    instance.logCold(it)
+                    changed()
+                },
+            )
+        limit.cold.recordRow(instance, nowMs(), storeTimes.certainMs().takeIf { isFirstRead })
         limits[keyOf(instance)] = limit
         announced[keyOf(instance)]?.let { adopt(limit, it) }
         return limit
@@ -163,6 +183,7 @@
             },
             {
                 limit.claimSucceeded(claim, sentAtMs, nowMs())
+                published += key
                 log.info(
                     "event=rate_share_claimed key={} requests_per_second={} limit={} holders={}",
                     key,
@@ -189,9 +210,17 @@
         )
     }
 
-    /** Deletes the rows of an instance that is gone. */
+    /**
+     * Deletes the rows of an instance that is gone, unless it comes back while other entries may use their shares: on a
+     * row without those, entries would take the limit a second time.
+     */
     private suspend fun deleteRows(key: String) {
         published -= key
+        delay(SHARE_LIFETIME)
+        if (key in limits) {
+            published += key
+            return
+        }
         val rows = listOf(SHARED_TABLE, TABLE).map { TableWrite(it, key, ifVersion = null, value = null) }
         table.transaction(rows).onLeft {
             log.warn("event=limit_rows_not_deleted key={} {}", key, it.describe())
@@ -199,6 +228,11 @@
     }
 
     private fun keyOf(instance: RegisteredInstance) = "$LIMIT_KEY_PREFIX${instance.id}/${instance.startedAtMs}"
+
+    private companion object {
+        /** Longer than the lease of a share. */
+        val SHARE_LIFETIME = 10.seconds
+    }
 }
 
 /**
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
@@ -66,6 +66,12 @@
         queues[upstream]?.dispatch()
     }
 
+    /** Number of waiting requests for [upstream] that are as urgent as [priority] or more so. */
+    fun sizeFor(
+        upstream: UpstreamName,
+        priority: Int,
+    ): Int = queues[upstream]?.queue?.sizeFor(priority) ?: 0
+
     /** Number of waiting requests. */
     val size: Int get() = queues.values.sumOf { it.queue.size }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -46,7 +46,11 @@
     val stated = StatedAvailability()
 
     /** Applies a changed registry row of the same process. */
-    fun update(row: RegisteredInstance) {
+    fun update(
+        row: RegisteredInstance,
+        nowMs: Long,
+    ) {
+        if (row.warmUpLeftMs != registered.warmUpLeftMs) row.warmUpLeftMs?.let { limit.cold.recordStated(it, nowMs) }
         registered = row
     }
 
@@ -231,11 +235,12 @@
             )
             val old = byId[change.id]
             if (now != null && old?.isSameProcess(now) == true) {
-                old.update(now)
+                old.update(now, nowMs())
+                limits.changed()
             } else {
                 byId.remove(change.id)?.let { limits.remove(it.registered) }
                 if (now != null) {
-                    byId[change.id] = UpstreamInstance(now, connections.server(now.address), limits.add(now))
+                    byId[change.id] = UpstreamInstance(now, connections.server(now.address), limits.add(now, !isLoaded))
                 }
             }
             if (old != null && byId.values.none { it.registered.address == old.registered.address }) {
