Keep requests from evacuated data centres

Cause: entries read only the key `config` of the operators' table, so an operator could take a data centre out of service only by stopping its instances.

Change: a row `evacuate/DC` decodes to an order (platform/OperatorRows.kt). Entries keep the evacuated data centres beside the configuration, from the same reads (core Evacuations, gateway OperatorRows): evacuations are applied before the configuration of the same read, an outage changes nothing, and after a restore or a lost history only a complete read ends one. Instances of an evacuated data centre are left out where all placements look (UpstreamInstances.available), and a connection that opens after the order carries no request. State page, gauge, log lines.

A configuration has versions and could not go back; a deleted evacuation would have come back for good.

Ruled out: a second follower of the same table (twice the calls, and the configuration could be known before the evacuations).

--- /dev/null
+++ b/core/src/main/kotlin/io/teaselspring/core/routing/OperatorRow.kt
@@ -0,0 +1,14 @@
+/*
+ * Rows of the operators' table. Several kinds share one table, so that entries learn of them by the same read.
+ */
+package io.teaselspring.core.routing
+
+import io.teaselspring.core.DataCentre
+
+/** A row that operators write: a [RoutingConfig] or an [EvacuationOrder]. */
+public sealed interface OperatorRow
+
+/** [dataCentre] is evacuated as long as the row exists. */
+public data class EvacuationOrder(
+    val dataCentre: DataCentre,
+) : OperatorRow
--- a/core/src/main/kotlin/io/teaselspring/core/routing/RoutingConfig.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/routing/RoutingConfig.kt
@@ -96,7 +96,7 @@
     public val organisations: List<CallerOrganisation>?,
     public val limits: CallerLimits = CallerLimits(),
     upstreams: List<UpstreamProperties> = emptyList(),
-) {
+) : OperatorRow {
     private val propertiesByUpstream = upstreams.associateBy { it.name }
 
     private val routesByHost =
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
@@ -13,7 +13,7 @@
 import io.teaselspring.core.lease.ClockReading
 import io.teaselspring.core.lease.LeaseTimes
 import io.teaselspring.core.registry.RegisteredInstance
-import io.teaselspring.core.routing.RoutingConfig
+import io.teaselspring.core.routing.OperatorRow
 import io.teaselspring.daemon.Running
 import io.teaselspring.daemon.http.HttpConnections
 import io.teaselspring.daemon.http.OutOfStep
@@ -46,13 +46,13 @@
 typealias ReadMemory = suspend (address: String) -> Either<PlatformError, Long>
 
 /**
- * Interfaces to the platform. [storeClock] estimates the store's clock from its responses. Without [readMemory] the
- * queue does not bound the memory of running requests; without [sharedRows] entries don't share what they learn of
- * instances. [storeGeneration] shows restores of the store from an older copy.
+ * Interfaces to the platform. [config] holds all rows of the operators. [storeClock] estimates the store's clock from
+ * its responses. Without [readMemory] the queue does not bound the memory of running requests; without [sharedRows]
+ * entries don't share what they learn of instances. [storeGeneration] shows restores of the store from an older copy.
  */
 class GatewayPlatform(
     val table: TableStore,
-    val config: WatchedTable<RoutingConfig>,
+    val config: WatchedTable<OperatorRow>,
     val instances: WatchedTable<RegisteredInstance>,
     val usage: UsageIntake?,
     val storeClock: StoreClock,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -8,9 +8,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
-import io.teaselspring.core.lease.ClockReading
 import io.teaselspring.core.routing.CallerLimits
-import io.teaselspring.core.routing.RoutingConfig
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -53,7 +51,7 @@
             settings,
             runtime,
             ConfigState(runtime.loop, runtime.clock),
-            UpstreamInstances(runtime.connections, runtime.nowMs, limits),
+            UpstreamInstances(runtime.connections, runtime.nowMs, limits, DataCentres(usage::entryCount)),
             usage::recordRequest,
             usage::entryCount,
             Random.Default::nextInt,
@@ -68,6 +66,11 @@
             ),
         )
     private var onConfigOutageEnded: () -> Unit = {}
+
+    init {
+        runtime.metrics.observe(gateway.instances.dataCentres)
+    }
+
     private val callers =
         CallerConnections(
             CallerConnectionContext(
@@ -164,33 +167,10 @@
             platform.config,
             FollowTimes(wait = times.configWait, interval = Duration.ZERO),
             runtime.clock,
-            object : TableListener<RoutingConfig> {
-                override fun onSnapshot(
-                    rows: Map<String, RoutingConfig?>,
-                    askedAt: ClockReading,
-                    gap: TableGap,
-                ) {
-                    applyNewestConfig(rows, askedAt, isComplete = true)
-                    if (gap != TableGap.NONE) onConfigOutageEnded()
-                }
-
-                override fun onChanges(
-                    changes: Map<String, RoutingConfig?>,
-                    askedAt: ClockReading,
-                ) = applyNewestConfig(changes, askedAt, isComplete = false)
-            },
+            OperatorRows(gateway.config, gateway.instances.dataCentres, runtime.nowMs) { onConfigOutageEnded() },
             platform.storeGeneration,
         )
 
-    private fun applyNewestConfig(
-        rows: Map<String, RoutingConfig?>,
-        askedAt: ClockReading,
-        isComplete: Boolean,
-    ) {
-        val newest = rows.values.filterNotNull().maxByOrNull { it.version }
-        gateway.config.recordConfirmation(askedAt, newest, isComplete)
-    }
-
     private fun registryFollower() =
         instanceFollower(
             platform.instances,
@@ -248,6 +228,10 @@
                 }
                 put("calls_queued", gateway.queues.size + gateway.permits.size)
                 put("entries", gateway.entryCount())
+                putJsonArray("evacuated_data_centres") {
+                    gateway.instances.dataCentres.evacuated
+                        .forEach { add(it.value) }
+                }
                 putJsonArray("quarantined_parts") { gateway.quarantine.quarantined.forEach { add("$it") } }
                 putJsonArray("instances") {
                     gateway.instances.all().forEach { instance ->
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -74,6 +74,7 @@
                 request.body,
                 request.headers[names.requestId],
                 names.requestId,
+                maySend = { !instance.isEvacuated },
             )
         exchange = instance.server.send(outgoing, this)
     }
@@ -121,7 +122,7 @@
     override fun notSent(reason: String) {
         finish()
         gateway.metrics.attempt(authorised.upstream.value, "not_sent")
-        instance.recordFailure(gateway.nowMs(), reason)
+        if (!instance.isEvacuated) instance.recordFailure(gateway.nowMs(), reason)
         execution.attemptNotRun(reason, sent = false)
     }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
@@ -61,13 +61,17 @@
     return chosen?.let { candidate -> available.firstOrNull { it.registered.id == candidate.id } }
 }
 
-/** Whether a limit holds back an instance of [upstream] that has not been [tried]. */
+/**
+ * Whether a limit, or the return of its data centre to service, holds back an instance of [upstream] that has not been
+ * [tried].
+ */
 internal fun Gateway.isHeldBack(
     upstream: UpstreamName,
     tried: Set<InstanceId>,
 ): Boolean {
     val now = nowMs()
-    return instances.available(upstream).any { it.registered.id !in tried && !it.limit.hasPermit(now) }
+    return instances.isReturning(upstream, tried) ||
+        instances.available(upstream).any { it.registered.id !in tried && !it.limit.hasPermit(now) }
 }
 
 /**
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/TableFollower.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/TableFollower.kt
@@ -159,7 +159,9 @@
             }
             is TableChanges.Changed -> {
                 recordAnswer(changes.storeMs, TableGap.NONE)
-                version = maxOf(changes.version, version ?: 0)
+                // A snapshot read meanwhile has overtaken these changes, and a later one may have undone them.
+                if (changes.version < (version ?: 0)) return
+                version = changes.version
                 notifyListener { listener.onChanges(changes.entries, askedAt) }
             }
         }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -29,7 +29,9 @@
     registered: RegisteredInstance,
     val server: ServerConnections,
     val limit: InstanceLimit,
+    private val dataCentres: DataCentres = DataCentres(),
 ) {
+    private val rampPhase = dataCentres.nextRampPhase()
     var registered = registered
         private set
     val load = KnownLoad()
@@ -85,8 +87,13 @@
         return true
     }
 
-    /** Whether the instance may get one more request by what it has said. */
-    fun admitsRequest(nowMs: Long): Boolean = stated.admits(load.ownRequests, registered.slots, nowMs)
+    /** Whether the instance may get one more request by what it and the operators have said. */
+    fun admitsRequest(nowMs: Long): Boolean =
+        stated.admits(load.ownRequests, registered.slots, nowMs) &&
+            dataCentres.admits(registered, load.ownRequests, rampPhase, nowMs)
+
+    /** Whether the data centre of the instance is evacuated. */
+    val isEvacuated: Boolean get() = registered.dataCentre in dataCentres.evacuated
 
     /** The process says in a response that it is leaving: connections that are idle now are of no more use. */
     fun recordLeaving() {
@@ -188,6 +195,7 @@
     private val connections: HttpConnections,
     private val nowMs: () -> Long,
     val limits: RequestLimits,
+    val dataCentres: DataCentres,
 ) {
     val registry = InstanceRegistry()
     private val byId = LinkedHashMap<InstanceId, UpstreamInstance>()
@@ -196,7 +204,7 @@
     /** Whether the registry has been read at least once. */
     var isLoaded = false
 
-    /** The instances of [upstream] that may get one more request: neither draining nor leaving, and not in a pause. */
+    /** The instances of [upstream] that may get one more request: not draining, leaving, evacuated or in a pause. */
     fun available(upstream: UpstreamName): List<UpstreamInstance> {
         val now = nowMs()
         return byUpstream[upstream].orEmpty().filter { it.admitsRequest(now) }
@@ -205,11 +213,25 @@
     /** Time until the first instance of [upstream] ends its pause, or null unless all that stay are in a pause. */
     fun pauseOf(upstream: UpstreamName): Duration? {
         val now = nowMs()
-        val staying = byUpstream[upstream].orEmpty().filter { it.stated.at(now) != Availability.LEAVING }
+        val staying =
+            byUpstream[upstream].orEmpty().filter { it.stated.at(now) != Availability.LEAVING && !it.isEvacuated }
         if (staying.any { it.stated.at(now) == Availability.OPEN }) return null
         return staying.minOfOrNull { it.stated.pausedUntilMs - now }?.milliseconds
     }
 
+    /** Whether an instance of [upstream] outside [tried] waits for its data centre to return to full service. */
+    fun isReturning(
+        upstream: UpstreamName,
+        tried: Set<InstanceId>,
+    ): Boolean {
+        val now = nowMs()
+        return byUpstream[upstream].orEmpty().any {
+            it.registered.id !in tried &&
+                it.stated.at(now) == Availability.OPEN &&
+                dataCentres.evacuations.isReturning(it.registered.dataCentre, now)
+        }
+    }
+
     /** Whether an instance of [upstream] has stated how long work takes on its machine. */
     fun isTimed(upstream: UpstreamName): Boolean = byUpstream[upstream].orEmpty().any { it.load.statesWorkTime }
 
@@ -232,7 +254,8 @@
             } else {
                 byId.remove(change.id)?.let { limits.remove(it.registered) }
                 if (now != null) {
-                    byId[change.id] = UpstreamInstance(now, connections.server(now.address), limits.add(now))
+                    byId[change.id] =
+                        UpstreamInstance(now, connections.server(now.address), limits.add(now), dataCentres)
                 }
             }
             if (old != null && byId.values.none { it.registered.address == old.registered.address }) {
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
@@ -14,6 +14,7 @@
 import io.teaselspring.core.registry.RegisteredInstance
 import io.teaselspring.core.routing.CallerLimits
 import io.teaselspring.core.routing.CallerOrganisation
+import io.teaselspring.core.routing.OperatorRow
 import io.teaselspring.core.routing.RequestRoute
 import io.teaselspring.core.routing.RouteKind
 import io.teaselspring.core.routing.RoutingConfig
@@ -62,7 +63,7 @@
 ) : AutoCloseable {
     private val storeClock = StoreClock().also { it.observe(STORE_START_MS, startClock(), startClock()) }
     private val storeGeneration = StoreGeneration()
-    val config = FakeWatchedTable<RoutingConfig>()
+    val config = FakeWatchedTable<OperatorRow>()
     val instances = FakeWatchedTable<RegisteredInstance>()
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val callers = freeAddress()
@@ -95,13 +96,14 @@
             }
     }
 
-    /** Registers [upstream] as the instance [id]. */
+    /** Registers [upstream] as the instance [id] in [dataCentre]. */
     fun add(
         id: String,
         upstream: ScriptedUpstream,
+        dataCentre: String = "oviedo",
     ) = instances.set(
         id,
-        RegisteredInstance(InstanceId(id), UPSTREAM, upstream.address, DataCentre("oviedo"), 64, false, 1),
+        RegisteredInstance(InstanceId(id), UPSTREAM, upstream.address, DataCentre(dataCentre), 64, false, 1),
     )
 
     /** The configuration of the site with [keys] for its first organisation. */
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/TableFollowerTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/TableFollowerTest.kt
@@ -16,6 +16,7 @@
 import io.teaselspring.ports.TableContent
 import io.teaselspring.ports.WatchedTable
 import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
@@ -44,6 +45,24 @@
     }
 }
 
+/** A table whose first poll, after version 10, shows that row `e` was put at 11, 500 ms after it was asked. */
+private class OvertakenTable : WatchedTable<String> {
+    var content: Either<PlatformError, TableContent<String>> = whole(10, "a" to "1")
+    val askedAfter = mutableListOf<Long>()
+
+    override suspend fun read() = content
+
+    override suspend fun changes(
+        after: Long,
+        wait: Duration,
+    ): Either<PlatformError, TableChanges<String>> {
+        askedAfter += after
+        if (askedAfter.size > 1) awaitCancellation()
+        delay(500)
+        return changed(11, "e" to "1")
+    }
+}
+
 private class RecordingListener : TableListener<String> {
     val lines = mutableListOf<String>()
 
@@ -100,6 +119,23 @@
             }
         }
 
+        // A row that was put and deleted again would come back for good, as the next poll asks for later changes only.
+        test("changes that a snapshot has overtaken are not applied after it") {
+            runTest {
+                val table = OvertakenTable()
+                val listener = RecordingListener()
+                val times = FollowTimes(wait = 2_000.milliseconds, Duration.ZERO)
+                val follower = TableFollower("t", table, times, { ClockReading(currentTime, currentTime) }, listener)
+                backgroundScope.launch { follower.run() }
+                testScheduler.advanceTimeBy(100)
+                table.content = whole(12)
+                follower.readNow(backgroundScope)
+                testScheduler.advanceTimeBy(1_000)
+                listener.lines shouldContainExactly listOf("all {a=1}", "all {}")
+                table.askedAfter shouldContainExactly listOf(10L, 12L)
+            }
+        }
+
         test("a lost history leads to a snapshot read that does not count as an outage") {
             runTest {
                 val table = ScriptedTable(mutableListOf(TableChanges.HistoryLost.right()), whole(5, "a" to "1"))
