Refuse what was never sent as not run, and count connect time-outs for a data centre

Cause: at the time limit a request was answered 504 also while its connection was still being opened or it waited for an instance, so a caller could not repeat a booking. An attempt to connect takes 400 ms to time out, and the next one went to another instance of the same unreachable data centre: 859 ms were spent on two of them.

Change: an exchange knows whether a byte may have been sent (Exchange.isSent). At the time limit and at a stop of the entry the status is 503 "not run" unless an attempt may run or may have run. A connect time-out counts against the whole data centre if nothing has been heard from it since the attempt began (core UnreachableDataCentres); its instances are then treated as ejected until one is heard from. Connections without a request, to its instances in turn, find that out (ReachabilityProbes), the first at once, so that one dark machine costs its data centre a round trip. Further attempts of the same request prefer other data centres in any case.

Ruled out: a shorter connect time-out (one lost packet takes longer), and requests as probes (each costs its caller 400 ms).

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/DataCentres.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/DataCentres.kt
@@ -1,5 +1,5 @@
 /*
- * What an entry knows of data centres as a whole: which ones operators have evacuated.
+ * What an entry knows of data centres as a whole: which ones operators have evacuated, and which ones it cannot reach.
  */
 package io.teaselspring.daemon.gateway
 
@@ -9,6 +9,7 @@
 import io.teaselspring.core.registry.Evacuations
 import io.teaselspring.core.registry.RampShare
 import io.teaselspring.core.registry.RegisteredInstance
+import io.teaselspring.core.registry.UnreachableDataCentres
 import org.slf4j.LoggerFactory
 import kotlin.random.Random
 
@@ -26,6 +27,35 @@
 
     val evacuated: Set<DataCentre> get() = evacuations.evacuated
 
+    private val unreachableDataCentres = UnreachableDataCentres()
+
+    val unreachable: Set<DataCentre> get() = unreachableDataCentres.all
+
+    /** Called when a data centre becomes unreachable, with the instance that an attempt to connect timed out at. */
+    var onUnreachable: (RegisteredInstance) -> Unit = {}
+
+    /** An instance of [dataCentre] was heard from. */
+    fun recordContact(
+        dataCentre: DataCentre,
+        nowMs: Long,
+    ) {
+        val unreachableMs = unreachableDataCentres.recordContact(dataCentre, nowMs) ?: return
+        log.info("event=data_centre_reachable data_centre={} after_ms={}", dataCentre, unreachableMs)
+    }
+
+    /** An attempt to connect to [instance], which began at [startedMs], timed out. */
+    fun recordTimeout(
+        instance: RegisteredInstance,
+        startedMs: Long,
+    ) {
+        if (!unreachableDataCentres.recordTimeout(instance.dataCentre, startedMs)) return
+        log.info("event=data_centre_unreachable data_centre={} instance={}", instance.dataCentre, instance.id)
+        onUnreachable(instance)
+    }
+
+    /** No instance of [dataCentre] is left to be heard from. */
+    fun forgetUnreachable(dataCentre: DataCentre) = unreachableDataCentres.forget(dataCentre)
+
     /** See [RampShare.phase]. */
     fun nextRampPhase(): Double = random.nextDouble()
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.teaselspring.core.routing.CallerLimits
+import io.teaselspring.daemon.http.checkReachable
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -69,6 +70,7 @@
 
     init {
         runtime.metrics.observe(gateway.instances.dataCentres)
+        ReachabilityProbes(runtime.loop, gateway.instances, runtime.connections::checkReachable).start()
     }
 
     private val callers =
@@ -232,6 +234,10 @@
                     gateway.instances.dataCentres.evacuated
                         .forEach { add(it.value) }
                 }
+                putJsonArray("unreachable_data_centres") {
+                    gateway.instances.dataCentres.unreachable
+                        .forEach { add(it.value) }
+                }
                 putJsonArray("quarantined_parts") { gateway.quarantine.quarantined.forEach { add("$it") } }
                 putJsonArray("instances") {
                     gateway.instances.all().forEach { instance ->
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -103,8 +103,8 @@
         return headers
     }
 
-    /** Whether the request may have been sent and has no result yet. */
-    val isRunning: Boolean get() = !isFinished
+    /** Whether a byte of the request may have been sent, and there is no result yet. */
+    val mayRun: Boolean get() = !isFinished && exchange?.isSent == true
 
     /** Cancels the attempt by closing the connection, which tells the instance to stop. */
     fun cancel() {
@@ -126,6 +126,12 @@
         execution.attemptNotRun(reason, sent = false)
     }
 
+    override fun unreachable(reason: String) {
+        execution.recordUnreachable(instance.registered.dataCentre)
+        gateway.instances.dataCentres.recordTimeout(instance.registered, startedMs)
+        notSent(reason)
+    }
+
     override fun head(response: HttpResponse) {
         val now = gateway.nowMs()
         instance.recordActivity(now)
@@ -221,13 +227,7 @@
 
     private fun recordResponseEnd(isBroken: Boolean) {
         val end = framing?.let(execution.stream::responseEnd) ?: return
-        val label =
-            when {
-                end.isInsideEvent == true -> "inside_event"
-                end.events == 0L -> "no_event"
-                else -> "whole"
-            }
-        gateway.metrics.responseEnded(authorised.upstream.value, end.framing.label, if (isBroken) "broken" else label)
+        gateway.metrics.responseEnded(authorised.upstream.value, end.framing.label, end.label(isBroken))
     }
 
     private fun recordSuccess() {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
@@ -3,6 +3,7 @@
  */
 package io.teaselspring.daemon.gateway
 
+import io.teaselspring.core.DataCentre
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.UpstreamName
 import io.teaselspring.core.placement.PlacementRequest
@@ -18,6 +19,9 @@
     /** Whether an instance may have run the request. */
     var mayHaveRun = false
 
+    /** Data centres in which an attempt to connect timed out. */
+    val unreachable = HashSet<DataCentre>()
+
     /** The instances that were tried, in order. */
     val tried: Set<InstanceId> get() = instances
 
@@ -41,11 +45,14 @@
     }
 }
 
-/** Chooses an instance for an attempt that no queue dispatches, or returns null if all instances are [tried]. */
+/**
+ * Chooses an instance for an attempt that no queue dispatches, or returns null if all instances were tried in
+ * [attempts]. Data centres that these could not reach come last.
+ */
 internal fun Gateway.chooseInstanceFor(
     authorised: AuthorisedRequest,
     prompt: List<PromptPart>,
-    tried: Set<InstanceId>,
+    attempts: RequestAttempts,
 ): UpstreamInstance? {
     val now = nowMs()
     val available = instances.available(authorised.upstream)
@@ -53,9 +60,9 @@
     val prefixId = prompt.getOrNull(prompt.size - 2)?.id ?: prompt.firstOrNull()?.id
     val chosen =
         chooseInstance(
-            available.map { it.candidate(now, stallMs) },
+            available.map { it.candidate(now, stallMs, attempts.unreachable) },
             PlacementRequest(prefixId, authorised.group, settings.dataCentre),
-            tried,
+            attempts.tried,
             randomBelow,
         )
     return chosen?.let { candidate -> available.firstOrNull { it.registered.id == candidate.id } }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.util.concurrent.ScheduledFuture
+import io.teaselspring.core.DataCentre
 import io.teaselspring.core.routing.RoutingConfig
 import io.teaselspring.core.routing.RoutingDecision
 import io.teaselspring.core.routing.pickUpstream
@@ -121,7 +122,7 @@
      */
     private fun tryNextInstance() {
         val upstream = authorised.upstream
-        val instance = gateway.chooseInstanceFor(authorised, prompt, attempts.tried)
+        val instance = gateway.chooseInstanceFor(authorised, prompt, attempts)
         val mustWait =
             if (instance == null) {
                 gateway.isHeldBack(upstream, attempts.tried)
@@ -141,7 +142,7 @@
 
     private fun waitForPermit() {
         val sinceMs = if (attempts.tried.isEmpty()) arrivedMs else gateway.nowMs()
-        val choose = { gateway.chooseInstanceFor(authorised, prompt, attempts.tried) }
+        val choose = { gateway.chooseInstanceFor(authorised, prompt, attempts) }
         gateway.permits.add(authorised.toPermitRequest(prompt, sinceMs, deadlineMs, choose, this))
     }
 
@@ -264,16 +265,25 @@
         finish(outcome, status.toString())
     }
 
+    /** An attempt to connect to an instance in [dataCentre] timed out: further attempts prefer other data centres. */
+    fun recordUnreachable(dataCentre: DataCentre) {
+        attempts.unreachable += dataCentre
+    }
+
     private fun onTimeout() {
         if (isFinished) return
+        cancelAttempt()
+        if (attempts.mayHaveRun) respond(HttpResponseStatus.GATEWAY_TIMEOUT, "timeout") else refuse("timeout, not run")
+    }
+
+    private fun cancelAttempt() {
+        if (attempt?.mayRun == true) attempts.mayHaveRun = true
         attempt?.cancel()
-        respond(HttpResponseStatus.GATEWAY_TIMEOUT, "timeout")
     }
 
     override fun entryStopped() {
         if (isFinished) return
-        if (attempt?.isRunning == true) attempts.mayHaveRun = true
-        attempt?.cancel()
+        cancelAttempt()
         refuse("stopping")
     }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestLog.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestLog.kt
@@ -30,7 +30,16 @@
     val framing: BodyFraming,
     val events: Long?,
     val isInsideEvent: Boolean?,
-)
+) {
+    /** What had arrived, as a label of a metric. */
+    fun label(isBroken: Boolean): String =
+        when {
+            isBroken -> "broken"
+            isInsideEvent == true -> "inside_event"
+            events == 0L -> "no_event"
+            else -> "whole"
+        }
+}
 
 /**
  * Logs [event] of the request [requestId] with the configuration that decided on it; [authorised] is null until the
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -4,6 +4,7 @@
  */
 package io.teaselspring.daemon.gateway
 
+import io.teaselspring.core.DataCentre
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.UpstreamName
 import io.teaselspring.core.limit.InstanceLimit
@@ -65,6 +66,7 @@
 
     fun recordActivity(nowMs: Long) {
         lastActivityMs = nowMs
+        dataCentres.recordContact(registered.dataCentre, nowMs)
     }
 
     /** Records the limit's [headers] of a response to a request sent at [sentAtMs]; returns whether it changed. */
@@ -163,9 +165,11 @@
         )
     }
 
+    /** The instance as a candidate of a request that does not go to data centres in [avoided] if it can. */
     fun candidate(
         nowMs: Long,
         stallMs: Long,
+        avoided: Set<DataCentre>,
     ): PlacementCandidate =
         PlacementCandidate(
             registered.id,
@@ -173,15 +177,21 @@
             registered.slots,
             load.requestsAt(nowMs),
             pendingPrefillTokens,
-            isEjected(nowMs, stallMs),
+            isEjected(nowMs, stallMs) || registered.dataCentre in avoided,
             limit.hasPermit(nowMs),
         )
 
-    /** Whether the instance is ejected, or has requests of this entry and has sent nothing for [stallMs]. */
+    /**
+     * Whether the instance is ejected or its data centre unreachable, or it has requests of this entry and has sent
+     * nothing for [stallMs].
+     */
     fun isEjected(
         nowMs: Long,
         stallMs: Long,
-    ): Boolean = nowMs < ejectedUntilMs || (load.ownRequests > 0 && nowMs - lastActivityMs > stallMs)
+    ): Boolean =
+        nowMs < ejectedUntilMs ||
+            registered.dataCentre in dataCentres.unreachable ||
+            (load.ownRequests > 0 && nowMs - lastActivityMs > stallMs)
 
     private companion object {
         const val INITIAL_EJECTION_MS = 250L
@@ -193,7 +203,7 @@
 /** The instances of all upstreams, according to the registry. */
 internal class UpstreamInstances(
     private val connections: HttpConnections,
-    private val nowMs: () -> Long,
+    val nowMs: () -> Long,
     val limits: RequestLimits,
     val dataCentres: DataCentres,
 ) {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
@@ -86,6 +86,8 @@
     private inner class RunningExchange(
         private val exchangeListener: ExchangeListener,
     ) : Exchange {
+        override val isSent: Boolean get() = true
+
         override fun cancel() {
             if (listener !== exchangeListener) return
             listener = null
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
@@ -29,6 +29,7 @@
 import jdk.net.ExtendedSocketOptions
 import java.net.ConnectException
 import java.net.InetSocketAddress
+import java.net.NoRouteToHostException
 import java.util.ArrayDeque
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -41,6 +42,9 @@
     /** As [notSent]: the server's host refused the connection. */
     fun refused(reason: String) = notSent(reason)
 
+    /** As [notSent]: nothing was heard from the server's host. */
+    fun unreachable(reason: String) = notSent(reason)
+
     /** The status line and headers of the response have been received. */
     fun head(response: HttpResponse)
 
@@ -56,6 +60,9 @@
 
 /** One request and its response, in progress. */
 internal interface Exchange {
+    /** Whether a byte of the request may have been sent. */
+    val isSent: Boolean
+
     /** Cancels the exchange and closes its connection. The listener is not called again. */
     fun cancel()
 
@@ -203,12 +210,11 @@
             onConnected = { exchange.onConnected(it, request, listener) },
             onFailed = {
                 val reason = it?.message ?: "cancelled"
-                if (!exchange.isCancelled) {
-                    if (it.isRefusal()) {
-                        listener.refused(reason)
-                    } else {
-                        listener.notSent(reason)
-                    }
+                when {
+                    exchange.isCancelled -> {}
+                    it.isRefusal() -> listener.refused(reason)
+                    it is ConnectTimeoutException || it is NoRouteToHostException -> listener.unreachable(reason)
+                    else -> listener.notSent(reason)
                 }
             },
         )
@@ -246,6 +252,7 @@
     private var started: Exchange? = null
     var isCancelled = false
         private set
+    override val isSent: Boolean get() = started != null
 
     fun onConnected(
         connection: HttpConnection,
@@ -290,4 +297,4 @@
     return writeAndFlush(message)
 }
 
-private fun Throwable?.isRefusal() = this is ConnectException && this !is ConnectTimeoutException
+internal fun Throwable?.isRefusal() = this is ConnectException && this !is ConnectTimeoutException
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/EvacuationTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/EvacuationTest.kt
@@ -13,6 +13,7 @@
 import io.teaselspring.core.DataCentre
 import io.teaselspring.core.routing.EvacuationOrder
 import io.teaselspring.daemon.eventually
+import java.io.OutputStream
 import java.util.concurrent.CountDownLatch
 import kotlin.concurrent.thread
 
@@ -218,4 +219,32 @@
             }
             second.close()
         }
+
+        // Engines are cold after the return, and each entry learns of it at the same time.
+        test("traffic rises after the return to service instead of moving at once") {
+            val mayEnd = CountDownLatch(1)
+            val holding = { request: ReceivedRequest, output: OutputStream ->
+                mayEnd.await()
+                output.respond(request)
+                ConnectionAction.KEEP
+            }
+            val aviles = ScriptedUpstream(holding)
+            val gijon = ScriptedUpstream(holding)
+            withGateway(aviles, gijon, timeoutMs = 20_000) {
+                add("engine-0", aviles, "aviles")
+                add("engine-1", gijon, "gijon")
+                evacuate("gijon")
+                Thread.sleep(6_000)
+                val returnedMs = millisSinceStart()
+                returnToService("gijon")
+                // Long enough for the entry to see the deletion, short against the ramp of nearly 6 s.
+                Thread.sleep(300)
+                val callers = List(40) { thread { call(PLAIN) } }
+                eventually { aviles.requests.value.size + gijon.requests.value.size shouldBe 40 }
+                val elapsedMs = millisSinceStart() - returnedMs
+                gijon.requests.value.size shouldBeLessThan (64 * elapsedMs / 5_000).toInt() + 2
+                mayEnd.countDown()
+                callers.forEach { it.join() }
+            }
+        }
     })
