Keep requests in the regions that their route and organisation allow

Cause: the fields `allowed_regions` of routes and organisations were ignored, so a request could reach an instance in any region.

The queue of prompts has a pool for each latency group and set of data centres, and the choice without a queue, retries, the permit queue and the hints of Retry-After look at the same set. A data centre of an unknown region is in none.

Ruled out: a queue for each set of data centres, because a less urgent request of one could then start before a more urgent one of another.

--- a/core/src/main/kotlin/io/teaselspring/core/Identifiers.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/Identifiers.kt
@@ -15,6 +15,15 @@
     override fun toString(): String = value
 }
 
+/** Name of a region, a group of data centres. */
+@Serializable
+@JvmInline
+public value class Region(
+    public val value: String,
+) {
+    override fun toString(): String = value
+}
+
 /** Identifier of one instance in the platform. */
 @Serializable
 @JvmInline
--- a/core/src/main/kotlin/io/teaselspring/core/placement/InstancePartition.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/InstancePartition.kt
@@ -3,6 +3,15 @@
  */
 package io.teaselspring.core.placement
 
+import io.teaselspring.core.DataCentre
+import io.teaselspring.core.routing.allows
+
+/** The requests of [group] that are restricted to the data centres [allowed], or not if that is null. */
+internal data class PoolKey(
+    val group: LatencyGroup,
+    val allowed: Set<DataCentre>? = null,
+)
+
 /** The pools of [instances] at [nowMs], by latency group. */
 internal class InstancePartition(
     instances: List<InstanceView>,
@@ -16,14 +25,25 @@
     private val nowMs: Long,
 ) {
     private val permitted = instances.filter { it.hasPermit }
-    private val healthy = permitted.filter { !it.isEjected }.ifEmpty { permitted }
+    private val healthyByRestriction = HashMap<Set<DataCentre>?, List<InstanceView>>()
     private val groupByInstance = hashes.partition(instances.map { it.id }, groups)
-    private val pools = HashMap<LatencyGroup, InstancePool>()
+    private val pools = HashMap<PoolKey, InstancePool>()
+
+    /** The instances in [allowed] that are not ejected, or all there if all are. */
+    private fun healthyIn(allowed: Set<DataCentre>?) =
+        healthyByRestriction.getOrPut(allowed) {
+            val within = if (allowed == null) permitted else permitted.filter { allowed.allows(it.dataCentre) }
+            within.filter { !it.isEjected }.ifEmpty { within }
+        }
 
-    fun poolOf(group: LatencyGroup): InstancePool =
-        pools.getOrPut(group) {
-            val members = instancesFor(group, healthy, groupByInstance) { it.id }
-            val preferred = hashes.preferredInstances(group, members)
+    /** The pool of the requests of [group] that may go to the data centres [allowed], or to all if that is null. */
+    fun poolOf(
+        group: LatencyGroup,
+        allowed: Set<DataCentre>? = null,
+    ): InstancePool =
+        pools.getOrPut(PoolKey(group, allowed)) {
+            val members = instancesFor(group, healthyIn(allowed), groupByInstance) { it.id }
+            val preferred = hashes.preferredInstances(PoolKey(group, allowed), members)
             InstancePool(
                 members,
                 preferred,
@@ -46,7 +66,7 @@
     fun overflowFor(request: QueuedRequest): InstanceView? {
         if (request.group.isLast || groupByInstance.isEmpty()) return null
         return if (request.group.isInteractive) {
-            healthy
+            healthyIn(request.allowedDataCentres)
                 .filter { groupByInstance.getValue(it.id) > request.group.index && it.hasPermit }
                 .filter { it.hasSlotBesideOverflow(entries, nowMs) }
                 .filter {
@@ -64,7 +84,7 @@
         groupIndex: Int,
         request: QueuedRequest,
     ): List<PoolMember> {
-        val pool = poolOf(request.group.copy(index = groupIndex))
+        val pool = poolOf(request.group.copy(index = groupIndex), request.allowedDataCentres)
         // The pool of a group without healthy instances has those of the other groups.
         return pool.members.filter {
             groupByInstance[it.instance.id] == groupIndex &&
--- a/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
@@ -8,6 +8,7 @@
 
 import io.teaselspring.core.DataCentre
 import io.teaselspring.core.InstanceId
+import io.teaselspring.core.routing.allows
 
 /**
  * An instance that may be chosen. [load] is this entry's estimate of its running and waiting requests.
@@ -26,12 +27,14 @@
 
 /**
  * The properties of a request that decide its placement. [sharedPart] identifies the longest part of its prompt that
- * it shares with other requests. [localDataCentre] is the data centre of this entry.
+ * it shares with other requests. [localDataCentre] is the data centre of this entry. Unless null, [allowedDataCentres]
+ * are the only ones that it may be sent to.
  */
 public data class PlacementRequest(
     val sharedPart: String?,
     val group: LatencyGroup,
     val localDataCentre: DataCentre,
+    val allowedDataCentres: Set<DataCentre>? = null,
 )
 
 /**
@@ -45,9 +48,9 @@
 )
 
 /**
- * Chooses one of [candidates], or returns null if all that have a permit are in [tried]. A request without a shared
- * part goes to the least loaded instance, as does one for which every instance is over a threshold of [policy].
- * [random] returns a uniformly distributed non-negative integer below its argument.
+ * Chooses one of [candidates], or returns null if all that are allowed and have a permit are in [tried]. A request
+ * without a shared part goes to the least loaded instance, as does one for which every instance is over a threshold of
+ * [policy]. [random] returns a uniformly distributed non-negative integer below its argument.
  */
 public fun chooseInstance(
     candidates: List<PlacementCandidate>,
@@ -56,7 +59,8 @@
     random: (Int) -> Int,
     policy: PlacementPolicy = PlacementPolicy(),
 ): PlacementCandidate? {
-    val untried = candidates.filter { it.id !in tried && it.hasPermit }
+    val untried =
+        candidates.filter { it.id !in tried && it.hasPermit && request.allowedDataCentres.allows(it.dataCentre) }
     val healthy = untried.filter { !it.isEjected }.ifEmpty { untried }
     val partition = partitionInstances(candidates.map { it.id }, request.group.count)
     val pool = instancesFor(request.group, healthy, partition) { it.id }
--- a/core/src/main/kotlin/io/teaselspring/core/placement/RendezvousCache.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/RendezvousCache.kt
@@ -11,7 +11,7 @@
     private var partitionedIds = emptyList<InstanceId>()
     private var groups = 0
     private var groupByInstance = emptyMap<InstanceId, Int>()
-    private val preferredByGroup = HashMap<LatencyGroup, PreferredInstances>()
+    private val preferredByPool = HashMap<PoolKey, PreferredInstances>()
 
     /** The result of [partitionInstances]. */
     fun partition(
@@ -26,14 +26,14 @@
         return groupByInstance
     }
 
-    /** The preferred instances of the parts of requests of [group], which [instances] serve. */
+    /** The preferred instances of the parts of the requests of [pool], which [instances] serve. */
     fun preferredInstances(
-        group: LatencyGroup,
+        pool: PoolKey,
         instances: List<InstanceView>,
     ): PreferredInstances {
-        val known = preferredByGroup[group]
+        val known = preferredByPool[pool]
         if (known != null && known.isFor(instances)) return known
-        return PreferredInstances(instances.map { it.id }).also { preferredByGroup[group] = it }
+        return PreferredInstances(instances.map { it.id }).also { preferredByPool[pool] = it }
     }
 }
 
--- a/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
@@ -8,6 +8,7 @@
  */
 package io.teaselspring.core.placement
 
+import io.teaselspring.core.DataCentre
 import io.teaselspring.core.InstanceId
 
 /** A part of a prompt, identified by [id]. */
@@ -19,7 +20,8 @@
 /**
  * A request in the queue. The last of [parts] is the request's own, the others are shared with other requests. [group]
  * decides which instances it may be sent to. If it starts at [lateAfterMs] or later, it misses its latency target. If
- * no instance has room for it at [refuseAfterMs] or later, it is refused.
+ * no instance has room for it at [refuseAfterMs] or later, it is refused. Unless null, [allowedDataCentres] are the
+ * only ones that it may be sent to.
  */
 public data class QueuedRequest(
     val id: Long,
@@ -29,6 +31,7 @@
     val arrivedMs: Long,
     val lateAfterMs: Long,
     val refuseAfterMs: Long,
+    val allowedDataCentres: Set<DataCentre>? = null,
 ) {
     /** Tokens of its own part, and of its whole prompt. */
     internal val size = PromptSize(parts.lastOrNull()?.tokens ?: 0, parts.sumOf { it.tokens })
@@ -44,6 +47,9 @@
     public val id: InstanceId
     public val isEjected: Boolean
 
+    /** Null if unknown: then the instance gets no request that is restricted to some data centres. */
+    public val dataCentre: DataCentre? get() = null
+
     /** Whether the limit of requests a second that the instance states permits one more; true without a limit. */
     public val hasPermit: Boolean get() = true
 
@@ -183,7 +189,8 @@
         waiting.clear()
         for (request in remaining) {
             val instance =
-                instanceFor(request, partition.poolOf(request.group), nowMs) ?: partition.overflowFor(request)
+                instanceFor(request, partition.poolOf(request.group, request.allowedDataCentres), nowMs)
+                    ?: partition.overflowFor(request)
             when {
                 instance != null -> onStart(QueueDecision.Start(request, instance.id))
                 nowMs >= request.refuseAfterMs -> refused += QueueDecision.Refuse(request)
--- a/core/src/main/kotlin/io/teaselspring/core/routing/RoutingConfig.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/routing/RoutingConfig.kt
@@ -6,6 +6,7 @@
 package io.teaselspring.core.routing
 
 import io.teaselspring.core.OrganisationId
+import io.teaselspring.core.Region
 import io.teaselspring.core.UpstreamName
 
 /**
@@ -33,7 +34,7 @@
  * A route of an entry without agents; `core.config.Route` is the one of an entry with agents. [prefix] begins and ends
  * with a slash. [timeoutMs] bounds the whole request, [targetLatencyMs] the time to the response or to the first event,
  * [maxEventGapMs] the gap between two events of a stream. [priority] 0 is the most urgent. [maxAttempts] bounds the
- * instances that one request is offered to.
+ * instances that one request is offered to. Requests reach only instances in [allowedRegions], unless that is null.
  */
 public data class RequestRoute(
     val name: String,
@@ -48,16 +49,21 @@
     val maxAttempts: Int,
     val isPublic: Boolean,
     val isResumable: Boolean,
+    val allowedRegions: Set<Region>? = null,
 ) {
     /** Whether a request may run a second time after its first run had an unknown outcome. */
     val isRepeatable: Boolean get() = kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAM && isResumable)
 }
 
-/** A calling organisation with its API keys. Unless null, [priority] overrides the one of the route. */
+/**
+ * A calling organisation with its API keys. Unless null, [priority] overrides the one of the route, and its requests
+ * reach only instances in [allowedRegions].
+ */
 public data class CallerOrganisation(
     val id: OrganisationId,
     val keys: Set<String>,
     val priority: Int?,
+    val allowedRegions: Set<Region>? = null,
 )
 
 /** Limits on callers. */
@@ -83,6 +89,9 @@
     ) : RoutingDecision {
         /** Priority of the request; 0 is the most urgent. */
         val priority: Int get() = organisation?.priority ?: route.priority
+
+        /** The regions that both the route and the organisation allow; null if neither restricts them. */
+        val allowedRegions: Set<Region>? get() = intersectionOf(route.allowedRegions, organisation?.allowedRegions)
     }
 }
 
--- a/core/src/test/kotlin/io/teaselspring/core/placement/RendezvousCacheTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/placement/RendezvousCacheTest.kt
@@ -48,7 +48,7 @@
             val parts = (1..20).map { "part-$it" }
             lists.forEach { instances ->
                 repeat(2) {
-                    val preferred = cache.preferredInstances(LatencyGroup.ONLY, instances)
+                    val preferred = cache.preferredInstances(PoolKey(LatencyGroup.ONLY), instances)
                     parts.map { part -> preferred.positionFor(part)?.let { instances[it].id } } shouldBe
                         parts.map { part -> instances.maxByOrNull { rendezvousWeight(part, it.id) }?.id }
                 }
@@ -60,7 +60,12 @@
             val (first, second) = listOf(instances(1..4), instances(5..8))
             repeat(2) {
                 listOf(first, second).forEachIndexed { index, instances ->
-                    val position = cache.preferredInstances(LatencyGroup(index, 2), instances).positionFor("part")
+                    val position =
+                        cache
+                            .preferredInstances(
+                                PoolKey(LatencyGroup(index, 2)),
+                                instances,
+                            ).positionFor("part")
                     position shouldBe instances.indices.maxBy { rendezvousWeight("part", instances[it].id) }
                 }
             }
--- a/core/src/test/kotlin/io/teaselspring/core/routing/RoutingConfigTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/routing/RoutingConfigTest.kt
@@ -6,7 +6,9 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import io.teaselspring.core.DataCentre
 import io.teaselspring.core.OrganisationId
+import io.teaselspring.core.Region
 import io.teaselspring.core.UpstreamName
 
 class RoutingConfigTest :
@@ -42,6 +44,38 @@
                 ),
             )
 
+        // Guards against a request that leaves the regions of its organisation on a route with other ones.
+        test("a request may reach the regions that both its route and its organisation allow") {
+            val norte = Region("norte")
+            val sur = Region("sur")
+
+            fun allowed(
+                ofRoute: Set<Region>?,
+                ofOrganisation: Set<Region>?,
+            ): Set<Region>? {
+                val organisation = CallerOrganisation(OrganisationId("hotel"), setOf("k1"), null, ofOrganisation)
+                return RoutingDecision
+                    .Allowed(
+                        route("all", "/").copy(allowedRegions = ofRoute),
+                        organisation,
+                    ).allowedRegions
+            }
+            allowed(null, null) shouldBe null
+            allowed(setOf(norte), null) shouldBe setOf(norte)
+            allowed(null, setOf(sur)) shouldBe setOf(sur)
+            allowed(setOf(norte, sur), setOf(sur)) shouldBe setOf(sur)
+            allowed(setOf(norte), setOf(sur)) shouldBe emptySet()
+            allowed(emptySet(), null) shouldBe emptySet()
+        }
+
+        // Guards against a data centre of an unknown region that counts as allowed.
+        test("only data centres that are known to be in a region are in it") {
+            val regions = mapOf(DataCentre("oviedo") to Region("norte"), DataCentre("cadiz") to Region("sur"))
+            regions.dataCentresIn(setOf(Region("norte"), Region("este"))) shouldBe setOf(DataCentre("oviedo"))
+            regions.dataCentresIn(null) shouldBe null
+            regions.dataCentresIn(setOf(Region("norte"))).allows(DataCentre("gijon")) shouldBe false
+        }
+
         test("the longest prefix wins, and a prefix ends at a slash") {
             config.route("rides.example", "/a/b/c")?.name shouldBe "deep"
             config.route("rides.example", "/a/bc")?.name shouldBe "all"
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/AuthorisedRequest.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/AuthorisedRequest.kt
@@ -3,6 +3,8 @@
  */
 package io.teaselspring.daemon.gateway
 
+import io.teaselspring.core.DataCentre
+import io.teaselspring.core.Region
 import io.teaselspring.core.UpstreamName
 import io.teaselspring.core.placement.LatencyGroup
 import io.teaselspring.core.placement.PromptPart
@@ -10,14 +12,19 @@
 import io.teaselspring.core.placement.latencyGroupOf
 import io.teaselspring.core.routing.RoutingConfig
 import io.teaselspring.core.routing.RoutingDecision
+import io.teaselspring.core.routing.dataCentresIn
 
-/** A request allowed by version [configVersion] of the configuration, which was then at most [configAgeMs] old. */
+/**
+ * A request allowed by version [configVersion] of the configuration, which was then at most [configAgeMs] old. Unless
+ * null, [allowedDataCentres] are the only ones that it may reach.
+ */
 internal class AuthorisedRequest(
     val configVersion: Long,
     val configAgeMs: Long?,
     private val decision: RoutingDecision.Allowed,
     val upstream: UpstreamName,
     val group: LatencyGroup,
+    val allowedDataCentres: Set<DataCentre>?,
 ) {
     val route get() = decision.route
     val organisation get() = decision.organisation?.id
@@ -37,6 +44,7 @@
         arrivedMs,
         lateAfterMs = arrivedMs + route.targetLatencyMs * LATE_AFTER_PCT / PERCENT,
         refuseAfterMs = refuseAfterMs(arrivedMs, deadlineMs),
+        allowedDataCentres = allowedDataCentres,
     )
 
     /** The request as it waits since [sinceMs] for a permit at an instance that [choose] returns. */
@@ -61,14 +69,19 @@
     }
 }
 
-/** This decision of [config], which was at most [configAgeMs] old, for a request that goes to [upstream]. */
+/**
+ * This decision of [config], which was at most [configAgeMs] old, for a request that goes to [upstream], whose data
+ * centres are in [regions].
+ */
 internal fun RoutingDecision.Allowed.toUpstream(
     upstream: UpstreamName,
     config: RoutingConfig,
     configAgeMs: Long?,
+    regions: Map<DataCentre, Region>,
 ): AuthorisedRequest {
     val group = latencyGroupOf(route.maxEventGapMs, config.eventGapsOf(upstream))
-    return AuthorisedRequest(config.version, configAgeMs, this, upstream, group)
+    val dataCentres = regions.dataCentresIn(allowedRegions)
+    return AuthorisedRequest(config.version, configAgeMs, this, upstream, group, dataCentres)
 }
 
 /**
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
@@ -8,6 +8,7 @@
 import io.teaselspring.core.DataCentre
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.OrganisationId
+import io.teaselspring.core.Region
 import io.teaselspring.core.UpstreamName
 import io.teaselspring.core.retry.RetryBudget
 
@@ -17,7 +18,7 @@
  * while it is younger than [certainMs], and the entry is ready only while it is younger than [readyMs]. The retry
  * budget of an entry is [retrySharePct] percent of its successful requests in a window of [retryWindowMs], and at least
  * its share of [retryMinimum], which applies to all entries together. [assumedEntries] is the number of entries until
- * the real number is known.
+ * the real number is known. [regions] are those of the data centres, as far as known.
  */
 data class GatewaySettings(
     val instance: InstanceId,
@@ -30,6 +31,7 @@
     val retryMinimum: Int = 25,
     val retryWindowMs: Long = 10_000,
     val assumedEntries: Int = 10,
+    val regions: Map<DataCentre, Region> = emptyMap(),
 )
 
 /** Shared state of one entry. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
@@ -5,10 +5,10 @@
 
 import io.teaselspring.core.DataCentre
 import io.teaselspring.core.InstanceId
-import io.teaselspring.core.UpstreamName
 import io.teaselspring.core.placement.PlacementRequest
 import io.teaselspring.core.placement.PromptPart
 import io.teaselspring.core.placement.chooseInstance
+import io.teaselspring.core.registry.Availability
 import io.teaselspring.core.routing.RouteKind
 
 /** The attempts of one request. */
@@ -61,7 +61,7 @@
     val chosen =
         chooseInstance(
             available.map { it.candidate(now, stallMs, attempts.unreachable) },
-            PlacementRequest(prefixId, authorised.group, settings.dataCentre),
+            PlacementRequest(prefixId, authorised.group, settings.dataCentre, authorised.allowedDataCentres),
             attempts.tried,
             randomBelow,
         )
@@ -69,27 +69,35 @@
 }
 
 /**
- * Whether a limit, or the return of its data centre to service, holds back an instance of [upstream] that has not been
- * [tried].
+ * Whether a limit, or the return of its data centre to service, holds back an instance that may serve [authorised] and
+ * has not been [tried].
  */
 internal fun Gateway.isHeldBack(
-    upstream: UpstreamName,
+    authorised: AuthorisedRequest,
     tried: Set<InstanceId>,
 ): Boolean {
     val now = nowMs()
-    return instances.isReturning(upstream, tried) ||
-        instances.available(upstream).any { it.registered.id !in tried && !it.limit.hasPermit(now) }
+    return instances.available(authorised).any { it.registered.id !in tried && !it.limit.hasPermit(now) } ||
+        instances.staying(authorised).any {
+            it.registered.id !in tried &&
+                it.stated.at(now) == Availability.OPEN &&
+                instances.dataCentres.evacuations.isReturning(it.registered.dataCentre, now)
+        }
 }
 
+/** Whether [authorised] is restricted to some data centres, and no instance is there. */
+internal fun Gateway.isOutOfReach(authorised: AuthorisedRequest): Boolean =
+    authorised.allowedDataCentres != null && instances.staying(authorised).isEmpty()
+
 /**
- * When to come back in seconds, if all instances of [upstream] that stay are in a pause, else null: spread over the
- * time after the first pause ends, and no later than the caller waits, whose request ends at [deadlineMs].
+ * When to come back in seconds, if all instances that may serve [authorised] and stay are in a pause, else null: spread
+ * over the time after the first pause ends, and no later than the caller waits, whose request ends at [deadlineMs].
  */
 internal fun Gateway.pausedRetryAfter(
-    upstream: UpstreamName,
+    authorised: AuthorisedRequest,
     deadlineMs: Long,
 ): String? {
-    val pauseMs = instances.pauseOf(upstream)?.inWholeMilliseconds ?: return null
+    val pauseMs = instances.pauseOf(authorised)?.inWholeMilliseconds ?: return null
     val usableMs = (deadlineMs - nowMs()) / RETRY_AFTER_PART
     return secondsText(minOf(pauseMs + randomBelow(PAUSE_SPREAD_MS), usableMs).coerceAtLeast(1))
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -81,16 +81,22 @@
             refuse("route without upstream")
             return
         }
-        authorised = decision.toUpstream(upstream, config, gateway.config.ageMs())
+        authorised = decision.toUpstream(upstream, config, gateway.config.ageMs(), gateway.settings.regions)
         val budgetMs = request.headers[names.timeBudgetMs]?.toLongOrNull() ?: Long.MAX_VALUE
         val timeoutMs = minOf(decision.route.timeoutMs, budgetMs)
         deadlineMs = arrivedMs + timeoutMs
-        if (gateway.drain?.accepts(gateway.nowMs(), deadlineMs) == false) {
-            refuse("stopping")
+        val obstacle =
+            when {
+                gateway.drain?.accepts(gateway.nowMs(), deadlineMs) == false -> "stopping"
+                gateway.isOutOfReach(authorised) -> "no instance in an allowed region"
+                else -> null
+            }
+        if (obstacle != null) {
+            refuse(obstacle)
             return
         }
         if (refuseQuarantined()) return
-        gateway.pausedRetryAfter(authorised.upstream, deadlineMs)?.let { return refuse("all instances are paused", it) }
+        gateway.pausedRetryAfter(authorised, deadlineMs)?.let { return refuse("all instances are paused", it) }
         gateway.limits.recordDemand(upstream)
         timeout = gateway.loop.schedule({ onTimeout() }, timeoutMs, TimeUnit.MILLISECONDS)
         if (prompt.isEmpty()) tryNextInstance() else enqueue()
@@ -112,7 +118,7 @@
 
     override fun onQueueTimeout() {
         queueId = null
-        val delayMs = gateway.permitDelayMs(authorised.upstream)
+        val delayMs = gateway.permitDelayMs(authorised)
         if (delayMs == null) refuse("waited too long") else refuse("waited too long for a permit", secondsText(delayMs))
     }
 
@@ -125,7 +131,7 @@
         val instance = gateway.chooseInstanceFor(authorised, prompt, attempts)
         val mustWait =
             if (instance == null) {
-                gateway.isHeldBack(upstream, attempts.tried)
+                gateway.isHeldBack(authorised, attempts.tried)
             } else {
                 instance.limit.perSecond != null && gateway.permits.hasMoreUrgent(upstream, authorised.priority)
             }
@@ -134,7 +140,7 @@
             instance == null ->
                 refuse(
                     if (attempts.tried.isEmpty()) "no instance" else "no further instance",
-                    gateway.pausedRetryAfter(authorised.upstream, deadlineMs),
+                    gateway.pausedRetryAfter(authorised, deadlineMs),
                 )
             else -> startAttempt(instance, instance.prefixCache.uncachedTokens(prompt, isPreferred = false))
         }
@@ -174,9 +180,9 @@
         sent: Boolean,
     ) {
         if (sent && attempts.counted >= authorised.route.maxAttempts) {
-            refuse("refused by upstream: $reason", gateway.pausedRetryAfter(authorised.upstream, deadlineMs))
+            refuse("refused by upstream: $reason", gateway.pausedRetryAfter(authorised, deadlineMs))
         } else if (attempts.areExhausted || (sent && !acquireRetry())) {
-            refuse("no attempt left: $reason", gateway.pausedRetryAfter(authorised.upstream, deadlineMs))
+            refuse("no attempt left: $reason", gateway.pausedRetryAfter(authorised, deadlineMs))
         } else {
             log("call_retried", "not run: $reason")
             tryNextInstance()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestLimits.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestLimits.kt
@@ -202,11 +202,11 @@
 }
 
 /**
- * Estimates the time until this entry may send a request to an instance of [upstream], with jitter up to twice that;
- * null if none of its instances holds it back.
+ * Estimates the time until this entry may send [authorised] to an instance, with jitter up to twice that; null if no
+ * instance holds it back.
  */
-internal fun Gateway.permitDelayMs(upstream: UpstreamName): Long? {
+internal fun Gateway.permitDelayMs(authorised: AuthorisedRequest): Long? {
     val now = nowMs()
-    val waits = instances.available(upstream).map { it.limit.waitMs(now) }.filter { it > 0 }
+    val waits = instances.available(authorised).map { it.limit.waitMs(now) }.filter { it > 0 }
     return waits.minOrNull()?.let { it + randomBelow(it.toInt() + 1) }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
@@ -5,6 +5,7 @@
 package io.teaselspring.daemon.gateway
 
 import io.netty.channel.EventLoop
+import io.teaselspring.core.DataCentre
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.UpstreamName
 import io.teaselspring.core.placement.InstanceView
@@ -125,6 +126,7 @@
     override val isTimed: Boolean,
 ) : InstanceView {
     override val id: InstanceId get() = instance.registered.id
+    override val dataCentre: DataCentre get() = instance.registered.dataCentre
     override val isEjected: Boolean = instance.isEjected(nowMs, STREAM_STALL_MS)
     override val hasPermit: Boolean get() = instance.limit.hasPermit(nowMs) && instance.admitsRequest(nowMs)
     override val load: KnownLoad get() = instance.load
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -17,6 +17,7 @@
 import io.teaselspring.core.registry.RegistryChange
 import io.teaselspring.core.registry.StatedAvailability
 import io.teaselspring.core.registry.parsePause
+import io.teaselspring.core.routing.allows
 import io.teaselspring.daemon.http.HttpConnections
 import io.teaselspring.daemon.http.ServerConnections
 import org.slf4j.LoggerFactory
@@ -220,28 +221,26 @@
         return byUpstream[upstream].orEmpty().filter { it.admitsRequest(now) }
     }
 
-    /** Time until the first instance of [upstream] ends its pause, or null unless all that stay are in a pause. */
-    fun pauseOf(upstream: UpstreamName): Duration? {
+    /** As above, in the data centres that [request] may reach. */
+    fun available(request: AuthorisedRequest): List<UpstreamInstance> =
+        available(request.upstream).filter { request.allowedDataCentres.allows(it.registered.dataCentre) }
+
+    /** The instances that may serve [request] now or later: neither draining nor leaving nor evacuated. */
+    fun staying(request: AuthorisedRequest) =
+        byUpstream[request.upstream].orEmpty().filter {
+            it.stated.at(nowMs()) != Availability.LEAVING &&
+                !it.isEvacuated &&
+                request.allowedDataCentres.allows(it.registered.dataCentre)
+        }
+
+    /** Time until the first instance for [request] ends its pause, or null unless all that stay are in a pause. */
+    fun pauseOf(request: AuthorisedRequest): Duration? {
         val now = nowMs()
-        val staying =
-            byUpstream[upstream].orEmpty().filter { it.stated.at(now) != Availability.LEAVING && !it.isEvacuated }
+        val staying = staying(request)
         if (staying.any { it.stated.at(now) == Availability.OPEN }) return null
         return staying.minOfOrNull { it.stated.pausedUntilMs - now }?.milliseconds
     }
 
-    /** Whether an instance of [upstream] outside [tried] waits for its data centre to return to full service. */
-    fun isReturning(
-        upstream: UpstreamName,
-        tried: Set<InstanceId>,
-    ): Boolean {
-        val now = nowMs()
-        return byUpstream[upstream].orEmpty().any {
-            it.registered.id !in tried &&
-                it.stated.at(now) == Availability.OPEN &&
-                dataCentres.evacuations.isReturning(it.registered.dataCentre, now)
-        }
-    }
-
     /** Whether an instance of [upstream] has stated how long work takes on its machine. */
     fun isTimed(upstream: UpstreamName): Boolean = byUpstream[upstream].orEmpty().any { it.load.statesWorkTime }
 
