--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ColdInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ColdInstances.kt
@@ -43,7 +43,7 @@
     arrivedMs: Long,
     deadlineMs: Long,
 ): EarlyRefusal? =
-    pausedRetryAfter(authorised.upstream, deadlineMs)?.let { EarlyRefusal("all instances are paused", it) }
+    pausedRetryAfter(authorised, deadlineMs)?.let { EarlyRefusal("all instances are paused", it) }
         ?: coldRetryAfter(authorised, arrivedMs, deadlineMs)?.let { EarlyRefusal("all instances are cold", it) }
 
 /**
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -8,9 +8,8 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
-import io.teaselspring.core.lease.ClockReading
 import io.teaselspring.core.routing.CallerLimits
-import io.teaselspring.core.routing.RoutingConfig
+import io.teaselspring.daemon.http.checkReachable
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -55,7 +54,7 @@
             settings,
             runtime,
             config,
-            UpstreamInstances(runtime.connections, runtime.nowMs, limits),
+            UpstreamInstances(runtime.connections, runtime.nowMs, limits, DataCentres(usage::entryCount)),
             usage::recordRequest,
             usage::entryCount,
             Random.Default::nextInt,
@@ -70,6 +69,12 @@
             ),
         )
     private var onConfigOutageEnded: () -> Unit = {}
+
+    init {
+        runtime.metrics.observe(gateway.instances.dataCentres)
+        ReachabilityProbes(runtime.loop, gateway.instances, runtime.connections::checkReachable).start()
+    }
+
     private val callers =
         CallerConnections(
             CallerConnectionContext(
@@ -166,33 +171,10 @@
             platform.config,
             FollowTimes(wait = times.configWait, interval = Duration.ZERO),
             runtime.clock,
-            object : TableListener<RoutingConfig> {
-                override fun onSnapshot(
-                    rows: Map<String, RoutingConfig?>,
-                    askedAt: ClockReading,
-                    gap: TableGap,
-                ) {
-                    applyNewestConfig(rows, askedAt, isComplete = true)
-                    if (gap != TableGap.NONE) onConfigOutageEnded()
-                }
-
-                override fun onChanges(
-                    changes: Map<String, RoutingConfig?>,
-                    askedAt: ClockReading,
-                ) = applyNewestConfig(changes, askedAt, isComplete = false)
-            },
+            OperatorRows(gateway.config, gateway.instances.dataCentres, runtime.nowMs) { onConfigOutageEnded() },
             platform.storeGeneration,
         )
 
-    private fun applyNewestConfig(
-        rows: Map<String, RoutingConfig?>,
-        askedAt: ClockReading,
-        isComplete: Boolean,
-    ) {
-        val newest = rows.values.filterNotNull().maxByOrNull { it.version }
-        gateway.config.recordConfirmation(askedAt, newest, isComplete)
-    }
-
     private fun registryFollower() =
         instanceFollower(
             platform.instances,
@@ -250,6 +232,14 @@
                 }
                 put("calls_queued", gateway.queues.size + gateway.permits.size)
                 put("entries", gateway.entryCount())
+                putJsonArray("evacuated_data_centres") {
+                    gateway.instances.dataCentres.evacuated
+                        .forEach { add(it.value) }
+                }
+                putJsonArray("unreachable_data_centres") {
+                    gateway.instances.dataCentres.unreachable
+                        .forEach { add(it.value) }
+                }
                 putJsonArray("quarantined_parts") { gateway.quarantine.quarantined.forEach { add("$it") } }
                 putJsonArray("instances") {
                     gateway.instances.all().forEach { instance ->
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
@@ -3,11 +3,12 @@
  */
 package io.teaselspring.daemon.gateway
 
+import io.teaselspring.core.DataCentre
 import io.teaselspring.core.InstanceId
-import io.teaselspring.core.UpstreamName
 import io.teaselspring.core.placement.PlacementRequest
 import io.teaselspring.core.placement.PromptPart
 import io.teaselspring.core.placement.chooseInstance
+import io.teaselspring.core.registry.Availability
 import io.teaselspring.core.routing.RouteKind
 
 /** The attempts of one request. */
@@ -18,6 +19,9 @@
     /** Whether an instance may have run the request. */
     var mayHaveRun = false
 
+    /** Data centres in which an attempt to connect timed out. */
+    val unreachable = HashSet<DataCentre>()
+
     /** The instances that were tried, in order. */
     val tried: Set<InstanceId> get() = instances
 
@@ -41,11 +45,14 @@
     }
 }
 
-/** Chooses an instance for an attempt that no queue dispatches, or returns null if all instances are [tried]. */
+/**
+ * Chooses an instance for an attempt that no queue dispatches, or returns null if all instances were tried in
+ * [attempts]. Data centres that these could not reach come last.
+ */
 internal fun Gateway.chooseInstanceFor(
     authorised: AuthorisedRequest,
     prompt: List<PromptPart>,
-    tried: Set<InstanceId>,
+    attempts: RequestAttempts,
 ): UpstreamInstance? {
     val now = nowMs()
     val available = instances.available(authorised.upstream)
@@ -53,33 +60,45 @@
     val prefixId = prompt.getOrNull(prompt.size - 2)?.id ?: prompt.firstOrNull()?.id
     val chosen =
         chooseInstance(
-            available.map { it.candidate(now, stallMs) },
-            PlacementRequest(prefixId, authorised.group, settings.dataCentre),
-            tried,
+            available.map { it.candidate(now, stallMs, attempts.unreachable) },
+            PlacementRequest(prefixId, authorised.group, settings.dataCentre, authorised.allowedDataCentres),
+            attempts.tried,
             randomBelow,
             leaving = leaving.contextFor(authorised.upstream, available),
         )
     return chosen?.let { candidate -> available.firstOrNull { it.registered.id == candidate.id } }
 }
 
-/** Whether a limit holds back an instance of [upstream] that has not been [tried]. */
+/**
+ * Whether a limit, or the return of its data centre to service, holds back an instance that may serve [authorised] and
+ * has not been [tried].
+ */
 internal fun Gateway.isHeldBack(
-    upstream: UpstreamName,
+    authorised: AuthorisedRequest,
     tried: Set<InstanceId>,
 ): Boolean {
     val now = nowMs()
-    return instances.available(upstream).any { it.registered.id !in tried && !it.limit.hasPermit(now) }
+    return instances.available(authorised).any { it.registered.id !in tried && !it.limit.hasPermit(now) } ||
+        instances.staying(authorised).any {
+            it.registered.id !in tried &&
+                it.stated.at(now) == Availability.OPEN &&
+                instances.dataCentres.evacuations.isReturning(it.registered.dataCentre, now)
+        }
 }
 
+/** Whether [authorised] is restricted to some data centres, and no instance is there. */
+internal fun Gateway.isOutOfReach(authorised: AuthorisedRequest): Boolean =
+    authorised.allowedDataCentres != null && instances.staying(authorised).isEmpty()
+
 /**
- * When to come back in seconds, if all instances of [upstream] that stay are in a pause, else null: spread over the
- * time after the first pause ends, and no later than the caller waits, whose request ends at [deadlineMs].
+ * When to come back in seconds, if all instances that may serve [authorised] and stay are in a pause, else null: spread
+ * over the time after the first pause ends, and no later than the caller waits, whose request ends at [deadlineMs].
  */
 internal fun Gateway.pausedRetryAfter(
-    upstream: UpstreamName,
+    authorised: AuthorisedRequest,
     deadlineMs: Long,
 ): String? {
-    val pauseMs = instances.pauseOf(upstream)?.inWholeMilliseconds ?: return null
+    val pauseMs = instances.pauseOf(authorised)?.inWholeMilliseconds ?: return null
     val usableMs = (deadlineMs - nowMs()) / RETRY_AFTER_PART
     return secondsText(minOf(pauseMs + randomBelow(PAUSE_SPREAD_MS), usableMs).coerceAtLeast(1))
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.util.concurrent.ScheduledFuture
+import io.teaselspring.core.DataCentre
 import io.teaselspring.core.routing.RoutingConfig
 import io.teaselspring.core.routing.RoutingDecision
 import io.teaselspring.core.routing.pickUpstream
@@ -80,12 +81,18 @@
             refuse("route without upstream")
             return
         }
-        authorised = decision.toUpstream(upstream, config, gateway.config.ageMs())
+        authorised = decision.toUpstream(upstream, config, gateway.config.ageMs(), gateway.settings.regions)
         val budgetMs = request.headers[names.timeBudgetMs]?.toLongOrNull() ?: Long.MAX_VALUE
         val timeoutMs = minOf(decision.route.timeoutMs, budgetMs)
         deadlineMs = arrivedMs + timeoutMs
-        if (gateway.drain?.accepts(gateway.nowMs(), deadlineMs) == false) {
-            refuse("stopping")
+        val obstacle =
+            when {
+                gateway.drain?.accepts(gateway.nowMs(), deadlineMs) == false -> "stopping"
+                gateway.isOutOfReach(authorised) -> "no instance in an allowed region"
+                else -> null
+            }
+        if (obstacle != null) {
+            refuse(obstacle)
             return
         }
         if (refuseQuarantined()) return
@@ -111,7 +118,7 @@
 
     override fun onQueueTimeout() {
         queueId = null
-        val delayMs = gateway.permitDelayMs(authorised.upstream)
+        val delayMs = gateway.permitDelayMs(authorised)
         if (delayMs == null) refuse("waited too long") else refuse("waited too long for a permit", secondsText(delayMs))
     }
 
@@ -121,10 +128,10 @@
      */
     private fun tryNextInstance() {
         val upstream = authorised.upstream
-        val instance = gateway.chooseInstanceFor(authorised, prompt, attempts.tried)
+        val instance = gateway.chooseInstanceFor(authorised, prompt, attempts)
         val mustWait =
             if (instance == null) {
-                gateway.isHeldBack(upstream, attempts.tried)
+                gateway.isHeldBack(authorised, attempts.tried)
             } else {
                 instance.limit.perSecond != null && gateway.permits.hasMoreUrgent(upstream, authorised.priority)
             }
@@ -133,7 +140,7 @@
             instance == null ->
                 refuse(
                     if (attempts.tried.isEmpty()) "no instance" else "no further instance",
-                    gateway.pausedRetryAfter(authorised.upstream, deadlineMs),
+                    gateway.pausedRetryAfter(authorised, deadlineMs),
                 )
             else -> startAttempt(instance, instance.prefixCache.uncachedTokens(prompt, isPreferred = false))
         }
@@ -141,7 +148,7 @@
 
     private fun waitForPermit() {
         val sinceMs = if (attempts.tried.isEmpty()) arrivedMs else gateway.nowMs()
-        val choose = { gateway.chooseInstanceFor(authorised, prompt, attempts.tried) }
+        val choose = { gateway.chooseInstanceFor(authorised, prompt, attempts) }
         gateway.permits.add(authorised.toPermitRequest(prompt, sinceMs, deadlineMs, choose, this))
     }
 
@@ -173,9 +180,9 @@
         sent: Boolean,
     ) {
         if (sent && attempts.counted >= authorised.route.maxAttempts) {
-            refuse("refused by upstream: $reason", gateway.pausedRetryAfter(authorised.upstream, deadlineMs))
+            refuse("refused by upstream: $reason", gateway.pausedRetryAfter(authorised, deadlineMs))
         } else if (attempts.areExhausted || (sent && !acquireRetry())) {
-            refuse("no attempt left: $reason", gateway.pausedRetryAfter(authorised.upstream, deadlineMs))
+            refuse("no attempt left: $reason", gateway.pausedRetryAfter(authorised, deadlineMs))
         } else {
             log("call_retried", "not run: $reason")
             tryNextInstance()
@@ -264,16 +271,25 @@
         finish(outcome, status.toString())
     }
 
+    /** An attempt to connect to an instance in [dataCentre] timed out: further attempts prefer other data centres. */
+    fun recordUnreachable(dataCentre: DataCentre) {
+        attempts.unreachable += dataCentre
+    }
+
     private fun onTimeout() {
         if (isFinished) return
+        cancelAttempt()
+        if (attempts.mayHaveRun) respond(HttpResponseStatus.GATEWAY_TIMEOUT, "timeout") else refuse("timeout, not run")
+    }
+
+    private fun cancelAttempt() {
+        if (attempt?.mayRun == true) attempts.mayHaveRun = true
         attempt?.cancel()
-        respond(HttpResponseStatus.GATEWAY_TIMEOUT, "timeout")
     }
 
     override fun entryStopped() {
         if (isFinished) return
-        if (attempt?.isRunning == true) attempts.mayHaveRun = true
-        attempt?.cancel()
+        cancelAttempt()
         refuse("stopping")
     }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -4,6 +4,7 @@
  */
 package io.teaselspring.daemon.gateway
 
+import io.teaselspring.core.DataCentre
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.UpstreamName
 import io.teaselspring.core.limit.InstanceLimit
@@ -16,6 +17,7 @@
 import io.teaselspring.core.registry.RegistryChange
 import io.teaselspring.core.registry.StatedAvailability
 import io.teaselspring.core.registry.parsePause
+import io.teaselspring.core.routing.allows
 import io.teaselspring.daemon.http.HttpConnections
 import io.teaselspring.daemon.http.ServerConnections
 import org.slf4j.LoggerFactory
@@ -29,7 +31,9 @@
     registered: RegisteredInstance,
     val server: ServerConnections,
     val limit: InstanceLimit,
+    private val dataCentres: DataCentres = DataCentres(),
 ) {
+    private val rampPhase = dataCentres.nextRampPhase()
     var registered = registered
         private set
     val load = KnownLoad()
@@ -67,6 +71,7 @@
 
     fun recordActivity(nowMs: Long) {
         lastActivityMs = nowMs
+        dataCentres.recordContact(registered.dataCentre, nowMs)
     }
 
     /** Records the limit's [headers] of a response to a request sent at [sentAtMs]; returns whether it changed. */
@@ -90,10 +95,15 @@
     }
 
     /** Whether a request that was chosen for the instance earlier may still be sent. */
-    fun mayStillGet(nowMs: Long): Boolean = stated.at(nowMs) == Availability.OPEN
+    fun mayStillGet(nowMs: Long): Boolean = stated.at(nowMs) == Availability.OPEN && !isEvacuated
 
-    /** Whether the instance may get one more request by what it has said. */
-    fun admitsRequest(nowMs: Long): Boolean = stated.admits(load.ownRequests, registered.slots, nowMs)
+    /** Whether the instance may get one more request by what it and the operators have said. */
+    fun admitsRequest(nowMs: Long): Boolean =
+        stated.admits(load.ownRequests, registered.slots, nowMs) &&
+            dataCentres.admits(registered, load.ownRequests, rampPhase, nowMs)
+
+    /** Whether the data centre of the instance is evacuated. */
+    val isEvacuated: Boolean get() = registered.dataCentre in dataCentres.evacuated
 
     /** The process says in a response that it is leaving: connections that are idle now are of no more use. */
     fun recordLeaving() {
@@ -163,9 +173,11 @@
         )
     }
 
+    /** The instance as a candidate of a request that does not go to data centres in [avoided] if it can. */
     fun candidate(
         nowMs: Long,
         stallMs: Long,
+        avoided: Set<DataCentre>,
     ): PlacementCandidate =
         PlacementCandidate(
             registered.id,
@@ -173,16 +185,22 @@
             registered.slots,
             load.requestsAt(nowMs),
             pendingPrefillTokens,
-            isEjected(nowMs, stallMs),
+            isEjected(nowMs, stallMs) || registered.dataCentre in avoided,
             limit.hasPermit(nowMs),
             load.ownRequests,
         )
 
-    /** Whether the instance is ejected, or has requests of this entry and has sent nothing for [stallMs]. */
+    /**
+     * Whether the instance is ejected or its data centre unreachable, or it has requests of this entry and has sent
+     * nothing for [stallMs].
+     */
     fun isEjected(
         nowMs: Long,
         stallMs: Long,
-    ): Boolean = nowMs < ejectedUntilMs || (load.ownRequests > 0 && nowMs - lastActivityMs > stallMs)
+    ): Boolean =
+        nowMs < ejectedUntilMs ||
+            registered.dataCentre in dataCentres.unreachable ||
+            (load.ownRequests > 0 && nowMs - lastActivityMs > stallMs)
 
     private companion object {
         const val INITIAL_EJECTION_MS = 250L
@@ -194,8 +212,9 @@
 /** The instances of all upstreams, according to the registry. */
 internal class UpstreamInstances(
     private val connections: HttpConnections,
-    private val nowMs: () -> Long,
+    val nowMs: () -> Long,
     val limits: RequestLimits,
+    val dataCentres: DataCentres,
 ) {
     val registry = InstanceRegistry()
     private val byId = LinkedHashMap<InstanceId, UpstreamInstance>()
@@ -204,16 +223,28 @@
     /** Whether the registry has been read at least once. */
     var isLoaded = false
 
-    /** The instances of [upstream] that may get one more request: neither draining nor leaving, and not in a pause. */
+    /** The instances of [upstream] that may get one more request: not draining, leaving, evacuated or in a pause. */
     fun available(upstream: UpstreamName): List<UpstreamInstance> {
         val now = nowMs()
         return byUpstream[upstream].orEmpty().filter { it.admitsRequest(now) }
     }
 
-    /** Time until the first instance of [upstream] ends its pause, or null unless all that stay are in a pause. */
-    fun pauseOf(upstream: UpstreamName): Duration? {
+    /** As above, in the data centres that [request] may reach. */
+    fun available(request: AuthorisedRequest): List<UpstreamInstance> =
+        available(request.upstream).filter { request.allowedDataCentres.allows(it.registered.dataCentre) }
+
+    /** The instances that may serve [request] now or later: neither draining nor leaving nor evacuated. */
+    fun staying(request: AuthorisedRequest) =
+        byUpstream[request.upstream].orEmpty().filter {
+            it.stated.at(nowMs()) != Availability.LEAVING &&
+                !it.isEvacuated &&
+                request.allowedDataCentres.allows(it.registered.dataCentre)
+        }
+
+    /** Time until the first instance for [request] ends its pause, or null unless all that stay are in a pause. */
+    fun pauseOf(request: AuthorisedRequest): Duration? {
         val now = nowMs()
-        val staying = byUpstream[upstream].orEmpty().filter { it.stated.at(now) != Availability.LEAVING }
+        val staying = staying(request)
         if (staying.any { it.stated.at(now) == Availability.OPEN }) return null
         return staying.minOfOrNull { it.stated.pausedUntilMs - now }?.milliseconds
     }
@@ -241,7 +272,13 @@
             } else {
                 byId.remove(change.id)?.let { limits.remove(it.registered) }
                 if (now != null) {
-                    byId[change.id] = UpstreamInstance(now, connections.server(now.address), limits.add(now, !isLoaded))
+                    byId[change.id] =
+                        UpstreamInstance(
+                            now,
+                            connections.server(now.address),
+                            limits.add(now, !isLoaded),
+                            dataCentres,
+                        )
                 }
             }
             if (old != null && byId.values.none { it.registered.address == old.registered.address }) {
