Make two tests of evacuation and unreachable data centres certain

Cause: with the change taken out, the test of a booking passed by luck (four unreachable instances), and the one of a resumed stream passed because the entry did not yet know the second instance.

Change: twelve unreachable instances, and both wait until the entry has read the registry again.

The test of the resumed stream was not run again without the change.

--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/EvacuationTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/EvacuationTest.kt
@@ -211,7 +211,8 @@
                 eventually { gijon.requests.value.size shouldBe 2 }
                 add("engine-1", second, "gijon")
                 evacuate("gijon")
-                Thread.sleep(500)
+                // Longer than the entry waits between two reads of the registry.
+                Thread.sleep(2_000)
                 mayEnd.countDown()
                 callers.forEach { it.join() }
                 responses[0] shouldContain "\r\n0\r\n"
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/UnreachableInstanceTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/UnreachableInstanceTest.kt
@@ -102,17 +102,19 @@
 
         // With 400 ms for each attempt to connect, 859 ms are enough for one of them only.
         test("a booking survives a data centre that cannot be reached, however many instances it has") {
-            val silent = List(4) { SilentListener() }
             val aviles = answering()
-            withGateway(aviles) {
-                add("engine-0", aviles, "aviles")
-                silent.forEachIndexed { index, listener -> addSilent("silent-$index", listener, "gijon") }
-                repeat(8) {
-                    val response = call(ORDER, headers = "X-Time-Budget-Ms: 859\r\n")
-                    withClue(response) { response shouldStartWith "HTTP/1.1 200" }
+            SilentListener().use { silent ->
+                withGateway(aviles) {
+                    add("engine-0", aviles, "aviles")
+                    repeat(12) { addSilent("silent-$it", silent, "gijon") }
+                    // Longer than the entry waits between two reads of the registry.
+                    Thread.sleep(2_000)
+                    repeat(8) {
+                        val response = call(ORDER, headers = "X-Time-Budget-Ms: 859\r\n")
+                        withClue(response) { response shouldStartWith "HTTP/1.1 200" }
+                    }
                 }
             }
-            silent.forEach { it.close() }
         }
 
         test("a data centre with one dark machine keeps its requests") {
