Read fractions of milliseconds of warm-up, and check warm instances faster

A fraction in warmup_left_ms or the header is rounded up; before, it counted as no statement. An instance without any sign of a start is not asked for its warm-up at each choice.

The StutterSoakTest was not run.

--- a/core/src/main/kotlin/io/teaselspring/core/limit/ColdState.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/limit/ColdState.kt
@@ -6,6 +6,7 @@
 package io.teaselspring.core.limit
 
 import io.teaselspring.core.routing.WarmUp
+import kotlin.math.ceil
 
 /** What one entry knows of the warm-up of one instance. Times are monotonic milliseconds. Not thread-safe. */
 public class ColdState {
@@ -18,6 +19,9 @@
     private var isLost = false
     private var evidenceMs = Long.MIN_VALUE
 
+    /** Whether anything has shown that the instance may be or may have been cold. */
+    internal val hasEvidence: Boolean get() = evidenceMs != Long.MIN_VALUE
+
     /**
      * The instance states at [nowMs] that it is cold for [leftMs] more, or warm if that is 0, in reply to a call sent
      * at [askedMs]. A reply to a call from before the last evidence of a start does not show that it is warm.
@@ -87,12 +91,13 @@
 }
 
 /**
- * The milliseconds that the [values] of a warm-up header state, the longest of them; null if none is a whole,
- * non-negative number.
+ * The milliseconds that the [values] of a warm-up header state, the longest of them, rounded up; null if none is a
+ * non-negative decimal number.
  */
 public fun parseWarmUpLeftMs(values: List<String>): Long? =
     values
         .flatMap { it.split(',') }
-        .mapNotNull { it.trim().toLongOrNull() }
-        .filter { it >= 0 }
+        .mapNotNull { it.trim().toDoubleOrNull() }
+        .filter { it.isFinite() && it >= 0 }
         .maxOrNull()
+        ?.let { ceil(it).toLong() }
--- a/core/src/main/kotlin/io/teaselspring/core/limit/InstanceLimit.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/limit/InstanceLimit.kt
@@ -49,7 +49,7 @@
     private var nextAnnouncementMs = 0L
 
     /** Requests a second that the instance takes from all entries together, or null while it has no limit. */
-    public val perSecond: Double? get() = listOfNotNull(stated.perSecond, coldPerSecond).minOrNull()
+    public val perSecond: Double? get() = coldPerSecond?.let { minOf(it, stated.perSecond ?: it) } ?: stated.perSecond
 
     /** Time for which the instance counts as cold, 0 if it is warm. */
     public fun coldLeftMs(nowMs: Long): Long = cold.leftMs(nowMs, warmUp())
@@ -114,6 +114,7 @@
 
     /** Applies the limit of a cold instance, and ends it once the instance is warm. */
     private fun updateCold(nowMs: Long) {
+        if (coldPerSecond == null && !cold.hasEvidence) return
         val current = warmUp()?.requestsPerSecond?.takeIf { coldLeftMs(nowMs) > 0 }
         if (current == coldPerSecond) return
         change(nowMs) { coldPerSecond = current }
