Count an engine of a timed upstream as stalled by the latency targets

An engine that had requests of an entry and sent nothing for 900 ms was avoided. On engines that differ in speed and are slow for some hundred ms that is normal for a long prompt, and its shared parts were prefilled again elsewhere. For timed upstreams the time is now one and a half times the longest latency target of their routes, at most 3 s.

--- a/core/src/main/kotlin/io/teaselspring/core/routing/RoutingConfig.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/routing/RoutingConfig.kt
@@ -106,6 +106,7 @@
     public val limits: CallerLimits = CallerLimits(),
     upstreams: List<UpstreamProperties> = emptyList(),
 ) : OperatorRow {
+    private val longestTargetsMs = HashMap<UpstreamName, Long>()
     private val propertiesByUpstream = upstreams.associateBy { it.name }
 
     private val routesByHost =
@@ -142,6 +143,14 @@
         return RoutingDecision.Allowed(route, organisation)
     }
 
+    /** The longest latency target of the routes that lead to [upstream], 0 without any. */
+    public fun longestTargetMsOf(upstream: UpstreamName): Long =
+        longestTargetsMs.getOrPut(upstream) {
+            routes
+                .filter { route -> route.upstreams.any { it.upstream == upstream } }
+                .maxOfOrNull { it.targetLatencyMs } ?: 0
+        }
+
     /** The event gap limits of the routes that lead to [upstream]; routes without a limit are left out. */
     public fun eventGapsOf(upstream: UpstreamName): List<Long> =
         routes.filter { route -> route.upstreams.any { it.upstream == upstream } }.mapNotNull { it.maxEventGapMs }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
@@ -55,7 +55,10 @@
     val memory: ByteBudget = runtime.memory
     val limits: RequestLimits get() = instances.limits
     val leaving = LeavingCosts(settings.dataCentre, entryCount, instances::isTimed, settings.leaving)
-    val queues = StreamQueues(loop, nowMs, instances, entryCount, readMemory, leaving)
+    val queues =
+        StreamQueues(loop, nowMs, instances, entryCount, readMemory, leaving) {
+            config.current?.longestTargetMsOf(it) ?: 0
+        }
     val permits = PermitQueue(loop, nowMs)
     private val budgets = HashMap<UpstreamName, RetryBudget>()
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
@@ -35,6 +35,7 @@
     private val entryCount: () -> Int,
     private val readMemory: (UpstreamInstance) -> Unit,
     private val leaving: LeavingCosts,
+    private val longestTargetMs: (UpstreamName) -> Long,
 ) {
     private val queues = HashMap<UpstreamName, UpstreamQueue>()
     private var lastId = 0L
@@ -108,8 +109,9 @@
             val available = instances.available(upstream)
             val isTimed = instances.isTimed(upstream)
             val costMs = if (isTimed) leaving.costsMs(upstream, available) else { _ -> 0.0 }
+            val stallMs = if (isTimed) timedStallMs(longestTargetMs(upstream)) else STREAM_STALL_MS
             return available.associate {
-                it.registered.id to UpstreamInstanceView(it, nowMs, isTimed, costMs(it))
+                it.registered.id to UpstreamInstanceView(it, nowMs, isTimed, costMs(it), stallMs)
             }
         }
 
@@ -137,10 +139,11 @@
     private val nowMs: Long,
     override val isTimed: Boolean,
     override val leavingCostMs: Double,
+    stallMs: Long,
 ) : InstanceView {
     override val id: InstanceId get() = instance.registered.id
     override val dataCentre: DataCentre get() = instance.registered.dataCentre
-    override val isEjected: Boolean = instance.isEjected(nowMs, STREAM_STALL_MS)
+    override val isEjected: Boolean = instance.isEjected(nowMs, stallMs)
     override val hasPermit: Boolean get() = instance.limit.hasPermit(nowMs) && instance.admitsRequest(nowMs)
     override val load: KnownLoad get() = instance.load
     override val slots: Int? get() =
@@ -161,3 +164,14 @@
 
 /** An instance with requests in progress that has sent nothing for this long gets no new requests. */
 internal const val STREAM_STALL_MS = 900L
+
+/**
+ * As [STREAM_STALL_MS], for a timed upstream whose routes allow up to [longestTargetMs] until the first event. Engines
+ * of a timed upstream may be slow for a while, and a slow one that is avoided has its shared parts prefilled elsewhere.
+ */
+internal fun timedStallMs(longestTargetMs: Long): Long =
+    (longestTargetMs * TIMED_STALL_PCT / PERCENT).coerceIn(STREAM_STALL_MS, MAX_STALL_MS)
+
+private const val TIMED_STALL_PCT = 150
+private const val PERCENT = 100
+private const val MAX_STALL_MS = 3_000L
