Let the scripted upstream queue more connections than a test opens at once

StreamBudgetTest opens 60 streams at once, and the stand-in's listener queued 50. On a busy machine the kernel dropped connects beyond that; their repetition comes after a second, past the connect timeout of 400 ms, so that the other organisation's request ended as 503 "no further instance". With a queue of 5 three of the four cases fail the same way on an otherwise unchanged tree; with 256 all pass. The checks are unchanged.

--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/ScriptedUpstream.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/ScriptedUpstream.kt
@@ -39,7 +39,7 @@
 
     /** Connections that the client closed while the script ran or before the next request. */
     val closedByClient = MutableStateFlow(0)
-    private val listener = ServerSocket(port, 50, InetAddress.getLoopbackAddress())
+    private val listener = ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress())
 
     /** "IP:port". */
     val address: String = "127.0.0.1:${listener.localPort}"
@@ -137,3 +137,6 @@
     write("0\r\n\r\n".toByteArray())
     flush()
 }
+
+/** More than the connections that a test opens at once: the kernel drops those beyond, and their connects time out. */
+private const val BACKLOG = 256
