--- a/core/src/main/kotlin/io/teaselspring/core/placement/LeavingDataCentre.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/LeavingDataCentre.kt
@@ -31,7 +31,7 @@
 
 /**
  * What an entry in the data centre [home], one of [entries], knows for the choice. [serviceMs] is the usual time of a
- * request on an idle instance of mean speed, and [costMs] the cost of each other data centre.
+ * request on an idle instance, and [costMs] the cost of each other data centre.
  */
 public class LeavingContext(
     public val home: DataCentre,
@@ -60,11 +60,8 @@
     val overflowing = sharingEntries(candidates, context)
     return elsewhere
         .mapNotNull { (dataCentre, members) ->
-            members
-                .fastest(
-                    context,
-                    random,
-                )?.let { it to it.expectedMs(context.serviceMs) + context.costMs(dataCentre) }
+            val fastest = members.fastest(context, random)
+            fastest?.let { it to it.expectedMs(context.serviceMs) + context.costMs(dataCentre) }
         }.sortedBy { it.second }
         .firstOrNull { (candidate, ms) ->
             ms < mostMs && random() < quota(elsewhere.getValue(candidate.dataCentre), overflowing)
@@ -113,7 +110,7 @@
 private fun PlacementCandidate.expectedMs(serviceMs: Double): Double {
     val occupied = load / maxOf(1, slots)
     val waiting = maxOf(0.0, load + 1 - slots) / maxOf(1, slots)
-    return serviceMs / speed * (1 + waiting + occupied * UNSEEN_LOAD_WEIGHT)
+    return serviceMs * (1 + waiting + occupied * UNSEEN_LOAD_WEIGHT)
 }
 
 /** Weight of the occupied slots of an instance that is not full. */
--- a/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
@@ -14,7 +14,7 @@
  * An instance that may be chosen. [load] is this entry's estimate of its running and waiting requests.
  * [pendingPrefillTokens] is the number of prompt tokens of the requests that this entry has sent there and that have
  * not produced a first token yet. [hasPermit] is false while a limit that the instance states permits no request.
- * [ownRequests] are those of this entry in [load], and [speed] is relative to the mean of the upstream.
+ * [ownRequests] are those of this entry in [load].
  */
 public data class PlacementCandidate(
     val id: InstanceId,
@@ -25,7 +25,6 @@
     val isEjected: Boolean,
     val hasPermit: Boolean = true,
     val ownRequests: Int = 0,
-    val speed: Double = 1.0,
 )
 
 /**
--- a/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
@@ -59,18 +59,6 @@
     /** Requests that the instance runs at once, or null if unknown. */
     public val slots: Int?
 
-    /** Whether the upstream's instances state how long work takes: it is then placed by time, not only by tokens. */
-    public val isTimed: Boolean get() = false
-
-    /** Lasting speed, relative to the mean of the upstream's instances. */
-    public val speed: Double get() = 1.0
-
-    /** Index of the latency group that the capacity plan assigns the instance to; null without a plan. */
-    public val plannedGroup: Int? get() = null
-
-    /** What it costs to send a request to the instance's data centre, in ms of waiting; 0 in that of this entry. */
-    public val leavingCostMs: Double get() = 0.0
-
     /** Tokens that the instance can keep of running requests and cached parts, or null if unknown. */
     public val memoryTokens: Long?
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/LeavingCosts.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/LeavingCosts.kt
@@ -48,20 +48,6 @@
         }
     }
 
-    /** What it costs to send a request for [upstream] to each of [instances], in ms of waiting; 0 at home. */
-    fun costsMs(
-        upstream: UpstreamName,
-        instances: List<UpstreamInstance>,
-    ): (UpstreamInstance) -> Double {
-        val bytes = usualByUpstream[upstream]?.bytes ?: 0.0
-        val homeMs = instances.filter { it.registered.dataCentre == home }.map { it.server.connectMs }.meanMs()
-        return { instance ->
-            val connectMs = instance.server.connectMs
-            val furtherMs = if (connectMs == null || homeMs == null) 0.0 else maxOf(0.0, connectMs - homeMs)
-            if (instance.registered.dataCentre == home) 0.0 else policy.costMs(furtherMs, bytes)
-        }
-    }
-
     private fun List<Double?>?.meanMs(): Double? = orEmpty().filterNotNull().takeIf { it.isNotEmpty() }?.average()
 
     private companion object {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
@@ -34,7 +34,6 @@
     private val instances: UpstreamInstances,
     private val entryCount: () -> Int,
     private val readMemory: (UpstreamInstance) -> Unit,
-    private val leaving: LeavingCosts,
     private val longestTargetMs: (UpstreamName) -> Long,
 ) {
     private val queues = HashMap<UpstreamName, UpstreamQueue>()
@@ -107,11 +106,9 @@
 
         private fun views(nowMs: Long): Map<InstanceId, UpstreamInstanceView> {
             val available = instances.available(upstream)
-            val isTimed = instances.isTimed(upstream)
-            val costMs = if (isTimed) leaving.costsMs(upstream, available) else { _ -> 0.0 }
-            val stallMs = if (isTimed) timedStallMs(longestTargetMs(upstream)) else STREAM_STALL_MS
+            val stallMs = if (instances.isTimed(upstream)) timedStallMs(longestTargetMs(upstream)) else STREAM_STALL_MS
             return available.associate {
-                it.registered.id to UpstreamInstanceView(it, nowMs, isTimed, costMs(it), stallMs)
+                it.registered.id to UpstreamInstanceView(it, nowMs, stallMs)
             }
         }
 
@@ -137,8 +134,6 @@
 private class UpstreamInstanceView(
     val instance: UpstreamInstance,
     private val nowMs: Long,
-    override val isTimed: Boolean,
-    override val leavingCostMs: Double,
     stallMs: Long,
 ) : InstanceView {
     override val id: InstanceId get() = instance.registered.id
