Place prompts by the work time that instances state

Cause: engines of one upstream differ by 2.4 in speed, but got the same share of prompt parts and the same windows. The fourth figure of the load report states the lasting speed at once: 70 or 170 of the usual on the deployment measured, and 2.5 times that for some 600 ms now and then.

Change: the lowest stated work time counts as lasting, preferred instances are chosen by weighted rendezvous hashing, windows scale with the speed, and an entry asks all instances of such an upstream as soon as one has stated its work time. Upstreams whose reports have three figures are served as before.

--- a/core/src/main/kotlin/io/teaselspring/core/placement/InstancePool.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/InstancePool.kt
@@ -36,7 +36,7 @@
     averages: PendingAverages,
     nowMs: Long,
 ) {
-    private val cachedTokensPerInstance = workingSetTokens?.div(maxOf(1, instances.size))
+    private val cachedTokensPerSpeed = workingSetTokens?.div(instances.sumOf { it.speed }.coerceAtLeast(1.0))
     private val windowTokens = policy.windowTokensOf(group)
     val members: List<PoolMember> = poolMembers(instances, entries, averages, nowMs)
 
@@ -79,8 +79,8 @@
     ): Boolean =
         member.instance.fitsShareOf(windowTokens, entries, uncachedTokens) &&
             (
-                member.pendingTokens <= windowTokens * IDLE_WINDOW_FRACTION ||
-                    member.pendingTokens + uncachedTokens <= windowTokens
+                member.pendingTokens <= windowTokens * member.instance.speed * IDLE_WINDOW_FRACTION ||
+                    member.pendingTokens + uncachedTokens <= windowTokens * member.instance.speed
             )
 
     private fun hasMemory(
@@ -92,13 +92,17 @@
         // An idle instance accepts a request of any size.
         if (member.requests < 1) return true
         val othersTokens = member.othersRequests * (meanSize?.unsharedTokens ?: unsharedTokens)
-        val mostTokens = runningTokens(memoryTokens) * (if (isSpill) policy.spillMemoryShare else 1.0)
+        val mostTokens =
+            runningTokens(memoryTokens, member.instance.speed) * (if (isSpill) policy.spillMemoryShare else 1.0)
         return member.instance.load.unsharedTokens + othersTokens + unsharedTokens <= mostTokens
     }
 
     /** Tokens of [memoryTokens] that the prompts of running requests may take. */
-    private fun runningTokens(memoryTokens: Long): Double {
-        val cachedTokens = cachedTokensPerInstance ?: return memoryTokens * policy.runningMemoryFraction
+    private fun runningTokens(
+        memoryTokens: Long,
+        speed: Double,
+    ): Double {
+        val cachedTokens = cachedTokensPerSpeed?.times(speed) ?: return memoryTokens * policy.runningMemoryFraction
         val free = (memoryTokens - cachedTokens) * FREE_SHARE
         return free.coerceIn(memoryTokens * MIN_RUNNING_FRACTION, memoryTokens * MAX_RUNNING_FRACTION)
     }
@@ -137,7 +141,7 @@
 
 /** The member that comes first in the rendezvous order of the shared part of [request]. */
 internal fun List<PoolMember>.byAffinity(request: QueuedRequest): PoolMember? =
-    maxByOrNull { rendezvousWeight(request.affinityPart, it.instance.id) }
+    maxByOrNull { rendezvousScore(request.affinityPart, it.instance.id, it.instance.speed) }
 
 internal fun QueuePolicy.windowTokensOf(group: LatencyGroup) =
     if (group.isLast) windowTokens else interactiveWindowTokens
@@ -147,4 +151,4 @@
     windowTokens: Long,
     entries: Int,
     uncachedTokens: Long,
-): Boolean = pendingPrefillTokens == 0L || pendingPrefillTokens + uncachedTokens <= windowTokens / entries
+): Boolean = pendingPrefillTokens == 0L || pendingPrefillTokens + uncachedTokens <= windowTokens * speed / entries
--- a/core/src/main/kotlin/io/teaselspring/core/placement/KnownLoad.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/KnownLoad.kt
@@ -24,8 +24,10 @@
     private var reportedAtMs = 0L
 
     /** Whether the instance has stated how long work takes on its machine. */
-    public var statesWorkTime: Boolean = false
-        private set
+    public val statesWorkTime: Boolean get() = workTime.lastingPct != null
+
+    /** How long work lastingly takes on the instance. */
+    public val workTime: WorkTime = WorkTime()
 
     /** Requests of other entries at the time of [lastReport]. */
     internal var otherRequests = 0
@@ -51,7 +53,7 @@
         otherRequests = maxOf(0, report.running + report.waiting - ownRequests)
         reportedAtMs = nowMs
         lastReport = report
-        if (report.workTimePct != null) statesWorkTime = true
+        report.workTimePct?.let { workTime.record(it, nowMs) }
     }
 
     /** The age of [lastReport] at [nowMs]. */
--- a/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
@@ -9,6 +9,7 @@
 import io.teaselspring.core.DataCentre
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.routing.allows
+import kotlin.math.ln
 
 /**
  * An instance that may be chosen. [load] is this entry's estimate of its running and waiting requests.
@@ -107,10 +108,28 @@
     return hash xor (hash ushr 33)
 }
 
+/**
+ * Weighted rendezvous hash: among several instances, each has the highest score for a share of the parts that is
+ * proportional to its [speed]. With equal speeds the order is that of [rendezvousWeight].
+ */
+internal fun rendezvousScore(
+    part: String,
+    id: InstanceId,
+    speed: Double,
+): Double {
+    // Maps the signed hash to the open interval from 0 to 1 and keeps its order.
+    val uniform = (((rendezvousWeight(part, id) xor Long.MIN_VALUE) ushr HASH_BITS_DROPPED) + 0.5) / UNIFORM_STEPS
+    return ln(uniform) / speed
+}
+
 /** Cost of an instance in another data centre, in full batches. */
 private const val REMOTE_COST = 0.05
 
 private const val RANDOM_STEPS = 1 shl 20
+
+/** A double holds 53 bits of the hash. */
+private const val HASH_BITS_DROPPED = 11
+private const val UNIFORM_STEPS = (1L shl 53).toDouble()
 private const val FNV_OFFSET = -3750763034362895579L
 private const val FNV_PRIME = 1099511628211L
 private const val MIX_1 = -49064778989728563L
--- a/core/src/main/kotlin/io/teaselspring/core/placement/RendezvousCache.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/RendezvousCache.kt
@@ -33,24 +33,29 @@
     ): PreferredInstances {
         val known = preferredByPool[pool]
         if (known != null && known.isFor(instances)) return known
-        return PreferredInstances(instances.map { it.id }).also { preferredByPool[pool] = it }
+        return PreferredInstances(
+            instances.map { it.id },
+            instances.map { it.speed },
+        ).also { preferredByPool[pool] = it }
     }
 }
 
-/** The preferred instances among [ids] by shared part. */
+/** The preferred instances among [ids], which have [speeds], by shared part. */
 internal class PreferredInstances(
     private val ids: List<InstanceId>,
+    private val speeds: List<Double>,
 ) {
     private val positionByPart = HashMap<String, Int>()
 
     fun isFor(instances: List<InstanceView>): Boolean =
-        ids.size == instances.size && ids.indices.all { ids[it] == instances[it].id }
+        ids.size == instances.size &&
+            ids.indices.all { ids[it] == instances[it].id && speeds[it] == instances[it].speed }
 
     /** The position of the instance that comes first in the rendezvous order of [part], or null without instances. */
     fun positionFor(part: String): Int? {
         if (ids.isEmpty()) return null
         if (positionByPart.size >= MAX_PARTS) positionByPart.clear()
-        return positionByPart.getOrPut(part) { ids.indices.maxBy { rendezvousWeight(part, ids[it]) } }
+        return positionByPart.getOrPut(part) { ids.indices.maxBy { rendezvousScore(part, ids[it], speeds[it]) } }
     }
 
     private companion object {
--- a/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
@@ -53,6 +53,9 @@
     /** Whether the limit of requests a second that the instance states permits one more; true without a limit. */
     public val hasPermit: Boolean get() = true
 
+    /** Lasting speed of the instance; 1.0 is the usual one. */
+    public val speed: Double get() = 1.0
+
     /** What this entry knows of the requests on the instance. */
     public val load: KnownLoad
 
@@ -101,7 +104,8 @@
  *   memory that the shared parts in use need, or take at most [runningMemoryFraction] of it while those are unknown. So
  *   shared parts stay cached.
  *
- * In both, a request larger than the mean counts as one of mean size.
+ * In both, a request larger than the mean counts as one of mean size. Windows apply to an instance of the usual speed,
+ * and scale with the speed of others.
  *
  * A request spills over to another instance when it has waited for [spillAfterMs] and the other instance would prefill
  * its prompt in less than [spillTimeRatio] of the time that the preferred instance needs. It prefills the shared parts
--- a/core/src/main/kotlin/io/teaselspring/core/routing/UpstreamProperties.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/routing/UpstreamProperties.kt
@@ -5,10 +5,15 @@
 
 import io.teaselspring.core.UpstreamName
 
-/** Properties of the upstream [name]. Without [warmUp] its instances are never cold. */
+/**
+ * Properties of the upstream [name]. Without [warmUp] its instances are never cold. A GET of [statusPath] at an
+ * instance returns its status; null if unknown. An event of its streams holds [eventTokens]; null if unknown.
+ */
 public data class UpstreamProperties(
     val name: UpstreamName,
     val warmUp: WarmUp? = null,
+    val statusPath: String? = null,
+    val eventTokens: Int? = null,
 )
 
 /**
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -68,10 +68,20 @@
                 CrashDetector(runtime.nowMs, runtime.connections::probe),
             ),
         )
+    private val workTimeChecks =
+        WorkTimeChecks(
+            gateway.instances,
+            settings.headers,
+            statusPathOf = { config.current?.propertiesOf(it)?.statusPath },
+            readStatus = { address, path ->
+                runtime.calls.call(address, "GET", path, STATUS_LIMIT).getOrNull()
+            },
+        )
     private var onConfigOutageEnded: () -> Unit = {}
 
     init {
         runtime.metrics.observe(gateway.instances.dataCentres)
+        gateway.instances.onTimedChanged = workTimeChecks::instancesChanged
         ReachabilityProbes(runtime.loop, gateway.instances, runtime.connections::checkReachable).start()
     }
 
@@ -144,6 +154,7 @@
             scope.launch { gateway.quarantine.reports.run() }
         }
         scope.launch { limits.run() }
+        scope.launch { workTimeChecks.run() }
         scope.launch { housekeeping() }
         if (platform.usage != null) scope.launch { usage.report(platform.usage) }
     }
@@ -258,6 +269,7 @@
                                 )
                                 put("own_calls", instance.load.ownRequests)
                                 put("pending_prefill_tokens", instance.pendingPrefillTokens)
+                                put("work_time_pct", instance.load.workTime.lastingPct)
                                 put("requests_per_second_limit", instance.limit.perSecond)
                                 put("warm_up_left_ms", instance.limit.coldLeftMs(runtime.nowMs()))
                             },
@@ -272,5 +284,6 @@
         val HOUSEKEEPING_INTERVAL = 500.milliseconds
         val DRAIN_CHECK_INTERVAL = 50.milliseconds
         const val LARGEST_HOLDERS = 5
+        val STATUS_LIMIT = 700.milliseconds
     }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HeaderNames.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HeaderNames.kt
@@ -20,6 +20,7 @@
     val signature: String = "X-Signature",
     val notRun: String = "X-Not-Run",
     val load: String = "X-Load",
+    val instanceId: String = "X-Instance-Id",
     val requestLimit: String = "X-Request-Limit",
     val leaving: String = "X-Leaving",
     val warmUpLeft: String = "X-Warm-Up-Left-Ms",
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -174,7 +174,9 @@
         if (report == null) {
             log.debug("event=load_report_unreadable instance={} header=\"{}\"", instance.registered.id, header)
         } else {
+            val wasTimed = instance.load.statesWorkTime
             instance.load.record(report, nowMs)
+            if (instance.load.statesWorkTime != wasTimed) gateway.instances.onTimedChanged()
         }
     }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
@@ -140,6 +140,7 @@
     override val dataCentre: DataCentre get() = instance.registered.dataCentre
     override val isEjected: Boolean = instance.isEjected(nowMs, stallMs)
     override val hasPermit: Boolean get() = instance.limit.hasPermit(nowMs) && instance.admitsRequest(nowMs)
+    override val speed: Double = instance.load.workTime.speed
     override val load: KnownLoad get() = instance.load
     override val slots: Int? get() =
         instance.load.lastReport
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -220,6 +220,9 @@
     private val byId = LinkedHashMap<InstanceId, UpstreamInstance>()
     private val byUpstream = HashMap<UpstreamName, List<UpstreamInstance>>()
 
+    /** Called when an instance has stated its work time for the first time, and when instances were added. */
+    var onTimedChanged: () -> Unit = {}
+
     /** Whether the registry has been read at least once. */
     var isLoaded = false
 
@@ -287,6 +290,7 @@
         }
         byUpstream.clear()
         byUpstream += byId.values.filter { !it.registered.isDraining }.groupBy { it.registered.upstream }
+        onTimedChanged()
     }
 
     fun removeExpired() = apply(registry.expire(nowMs()))
