Test placement by work time, and emulate engines of unequal speed

The emulator's engines learn a lasting work time and slow moments of 600 ms, and the scenarios prompts-burst-uneven-24, -100 and -330 compare the policy with the same one that ignores work times, prefix hash and least loaded. No group of equally fast engines does 1.5 times its part of the work.

--- a/experiments/src/main/kotlin/io/teaselspring/experiment/Main.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/Main.kt
@@ -14,6 +14,9 @@
 import io.teaselspring.experiment.prompts.promptScenarios
 import io.teaselspring.experiment.prompts.report
 import io.teaselspring.experiment.prompts.statementScenarios
+import io.teaselspring.experiment.prompts.unevenScenarios
+
+private val allPromptScenarios = promptScenarios + statementScenarios + unevenScenarios
 
 private class Experiment : CliktCommand("experiment") {
     private val name by argument(help = "a scenario, or list")
@@ -23,7 +26,11 @@
     override fun run() {
         if (name == "list") {
             scenarios.forEach { echo("%-26s %s".format(it.name, it.description)) }
-            (promptScenarios + statementScenarios).forEach { echo("%-26s %s".format(it.name, it.description)) }
+            allPromptScenarios.forEach {
+                echo(
+                    "%-26s %s".format(it.name, it.description),
+                )
+            }
             echo("%-26s %s".format("scale", "time, state and message bytes of the decisions as the system grows"))
             return
         }
@@ -32,7 +39,7 @@
             echo(if (output == "json") scaleJson(seed, measurements) else scaleText(measurements))
             return
         }
-        val prompts = (promptScenarios + statementScenarios).firstOrNull { it.name == name }
+        val prompts = allPromptScenarios.firstOrNull { it.name == name }
         if (prompts != null) {
             echo(prompts.report(seed))
             return
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptEngine.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptEngine.kt
@@ -25,6 +25,7 @@
     val msPerMillionPairs: Double = 0.324,
     val chunkTokens: Int = 2_048,
     val tokensPerEvent: Int = 5,
+    val workTimes: WorkTimes = WorkTimes(),
 )
 
 /**
@@ -47,6 +48,8 @@
     val id: InstanceId,
     private val loop: EventLoop,
     private val figures: EngineFigures,
+    private val statesWorkTime: Boolean = false,
+    private val workTimePct: () -> Int = { USUAL_PCT },
 ) {
     private class Running(
         val request: EngineRequest,
@@ -100,7 +103,8 @@
     val load: Int get() = running.size + waiting.size
 
     /** The load that it states in the head of a response. */
-    val reportedLoad: ReportedLoad get() = ReportedLoad(running.size, waiting.size, figures.slots)
+    val reportedLoad: ReportedLoad get() =
+        ReportedLoad(running.size, waiting.size, figures.slots, workTimePct().takeIf { statesWorkTime })
 
     val slots: Int get() = figures.slots
 
@@ -161,6 +165,7 @@
                 tokens > 0 && one.remainingPrefill == 0L
             }
         val stepOfRun = crashes
+        durationMs *= workTimePct() / USUAL_PCT.toDouble()
         loop.after((durationMs * US_PER_MS).toLong()) {
             if (stepOfRun != crashes) return@after
             prefilled.forEach(::remember)
@@ -261,5 +266,6 @@
         const val THOUSAND = 1_000.0
         const val MILLION = 1_000_000.0
         const val US_PER_MS = 1_000
+        const val USUAL_PCT = 100
     }
 }
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptPolicy.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptPolicy.kt
@@ -55,6 +55,10 @@
     /** Whether the engine may get one more request by what it has said and by its row in the registry. */
     val admitsRequest get() = !engine.isDraining && admission(stated, load.ownRequests, slots, loop.nowMs)
     override val id: InstanceId get() = engine.id
+
+    /** Whether the entry places requests by the work times that engines state. */
+    var heedsWorkTime = true
+    override val speed: Double get() = if (heedsWorkTime) load.workTime.speed else 1.0
     override val isEjected get() = !engine.isUp
     override var pendingPrefillTokens = 0L
     override val slots: Int get() = engine.slots
@@ -107,6 +111,7 @@
     val name: String,
     val cooperate: Boolean = false,
     val admission: Admission = { _, _, _, _ -> true },
+    val heedsWorkTime: Boolean = true,
     val router: (
         loop: EventLoop,
         engines: List<EntryInstanceView>,
@@ -207,11 +212,13 @@
 fun queuePolicy(
     name: String = "teaselspring",
     policy: QueuePolicy = QueuePolicy(),
+    heedsWorkTime: Boolean = true,
     admission: Admission = StatedAvailability::admits,
 ) = PromptPolicy(
     name,
     cooperate = true,
     admission,
+    heedsWorkTime,
 ) { loop, engines, entries, actions -> QueueRouter(loop, engines, policy, entries, actions) }
 
 /** The engine by the hash of the longest shared part, whatever its load. */
--- a/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenario.kt
+++ b/experiments/src/main/kotlin/io/teaselspring/experiment/prompts/PromptScenario.kt
@@ -89,7 +89,7 @@
     val worth: Map<String, Double>,
     val worstSecondsWorth: Double,
     val refused: Int,
-    val readTokens: Long,
+    val readTokensByEngine: List<Long>,
     val preempted: Int,
     val outcomes: List<PromptOutcome>,
     val crashing: CrashingRequests,
@@ -100,6 +100,7 @@
     val limited: LimitedArrivals = arrivals.limited
     val statements: StatedArrivals = arrivals.stated
     val totalWorth: Double get() = worth.getValue(TOTAL)
+    val readTokens: Long get() = readTokensByEngine.sum()
 
     companion object {
         const val TOTAL = "all"
@@ -124,7 +125,15 @@
     seed: Long,
 ): PromptFigures {
     val loop = EventLoop()
-    val fleet = List(engines) { PromptEngine(InstanceId("engine-$it"), loop, figures) }
+    val fleet =
+        List(engines) {
+            PromptEngine(
+                InstanceId("engine-$it"),
+                loop,
+                figures,
+                figures.workTimes.areStated,
+            ) { figures.workTimes.pctAt(it, loop.nowMs) }
+        }
     val outcomes = drawRequests(seed, durationMs, classes, bursts, figures.tokensPerEvent).map(::PromptOutcome)
     val crashing =
         faults.byPart
@@ -178,7 +187,11 @@
             if (!refuseQuarantined(number, outcome)) attempts.start(outcome, engine, uncached)
         }
         val actions = EntryActions(send) { refuse(byRequest.getValue(it.id)) }
-        views.forEach { it.admission = policy.admission }
+        views.forEach {
+            it.admission = policy.admission
+            it.heedsWorkTime = policy.heedsWorkTime
+            it.checkWorkTime(loop, figures)
+        }
         if (policy.cooperate) views.forEach { it.limit = { entryLimits.limit(number, it.id) } }
         routers += policy.router(loop, views, entries, actions)
     }
@@ -206,6 +219,15 @@
     )
 }
 
+/** An entry asks engines for their work time, and again after a second, when a slow moment is over. */
+private fun EntryInstanceView.checkWorkTime(
+    loop: EventLoop,
+    figures: EngineFigures,
+) {
+    if (!figures.workTimes.areStated) return
+    listOf(0L, RECHECK_MS).forEach { atMs -> loop.at(atMs) { load.record(engine.reportedLoad, loop.nowMs) } }
+}
+
 private fun PromptScenario.figuresOf(
     policy: PromptPolicy,
     outcomes: List<PromptOutcome>,
@@ -227,7 +249,7 @@
         byClass + (PromptFigures.TOTAL to worthOf(outcomes)),
         windows.min(),
         outcomes.count { it.isRefused },
-        fleet.sumOf { it.readTokens },
+        fleet.map { it.readTokens },
         fleet.sumOf { it.preempted },
         outcomes,
         crashing,
@@ -237,6 +259,7 @@
     )
 }
 
+private const val RECHECK_MS = 1_000L
 private const val WINDOW_MS = 2_000L
 private const val RETURN_AFTER_MS = 450L
 private const val US_PER_MS = 1_000L
