--- a/core/src/main/kotlin/io/teaselspring/core/placement/InstancePartition.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/InstancePartition.kt
@@ -80,6 +80,17 @@
         }
     }
 
+    /** An idle instance of a group that allows shorter event gaps, for a request that its own group has no room for. */
+    fun idleInstanceFor(request: QueuedRequest): InstanceView? =
+        (0 until request.group.index)
+            .flatMap { index ->
+                val group = request.group.copy(index = index)
+                poolOf(group, request.allowedDataCentres).members.filter {
+                    groupByInstance[it.instance.id] == index && it.isIdle(policy.windowTokensOf(group))
+                }
+            }.byAffinity(request)
+            ?.instance
+
     private fun membersWithRoom(
         groupIndex: Int,
         request: QueuedRequest,
--- a/core/src/main/kotlin/io/teaselspring/core/placement/InstancePool.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/InstancePool.kt
@@ -4,6 +4,8 @@
  */
 package io.teaselspring.core.placement
 
+import io.teaselspring.core.InstanceId
+
 /** An instance of a pool, and what all other entries are assumed to have there. */
 internal class PoolMember(
     val instance: InstanceView,
@@ -49,6 +51,12 @@
     fun preferredFor(request: QueuedRequest): PoolMember? =
         preferredInstances.positionFor(request.affinityPart)?.let { members[it] }
 
+    /** The preferred instance of [request], unless that is [instance] itself. */
+    fun holderBeside(
+        instance: InstanceView,
+        request: QueuedRequest,
+    ): InstanceId? = preferredFor(request)?.instance?.takeIf { it !== instance && !it.isEjected }?.id
+
     /**
      * Whether [member] has room for [request], with [uncachedTokens] to prefill. A request that spills over leaves more
      * of the memory to the prefix cache.
--- a/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
@@ -102,8 +102,16 @@
     var hash = FNV_OFFSET
     for (char in part) hash = (hash xor char.code.toLong()) * FNV_PRIME
     for (char in id.value) hash = (hash xor char.code.toLong()) * FNV_PRIME
-    // The finalizer of MurmurHash3: FNV-1a alone mixes the high bits of short inputs badly.
-    hash = (hash xor (hash ushr 33)) * MIX_1
+    return finalized(hash)
+}
+
+/** Hash of [text] that is the same on each entry. */
+internal fun mixedHash(text: String): Long =
+    finalized(text.fold(FNV_OFFSET) { hash, char -> (hash xor char.code.toLong()) * FNV_PRIME })
+
+/** The finalizer of MurmurHash3: FNV-1a alone mixes the high bits of short inputs badly. */
+private fun finalized(fnv: Long): Long {
+    var hash = (fnv xor (fnv ushr 33)) * MIX_1
     hash = (hash xor (hash ushr 33)) * MIX_2
     return hash xor (hash ushr 33)
 }
--- a/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
@@ -56,6 +56,9 @@
     /** Lasting speed of the instance; 1.0 is the usual one. */
     public val speed: Double get() = 1.0
 
+    /** Whether this entry may send it prompts of another latency group while it is idle. */
+    public val lendsNow: Boolean get() = false
+
     /** What this entry knows of the requests on the instance. */
     public val load: KnownLoad
 
@@ -82,10 +85,14 @@
 public sealed interface QueueDecision {
     public val request: QueuedRequest
 
-    /** [request] is to be sent to [instance] now. */
+    /**
+     * [request] is to be sent to [instance] now. Unless null, [holder] is another instance that is expected to have its
+     * shared part cached.
+     */
     public data class Start(
         override val request: QueuedRequest,
         val instance: InstanceId,
+        val holder: InstanceId? = null,
     ) : QueueDecision
 
     /** [request] has waited too long and is to be refused. */
@@ -183,11 +190,16 @@
         val remaining = waiting.toList()
         waiting.clear()
         for (request in remaining) {
+            val pool = partition.poolOf(request.group, request.allowedDataCentres)
             val instance =
-                instanceFor(request, partition.poolOf(request.group, request.allowedDataCentres), nowMs)
+                instanceFor(request, pool, nowMs)
                     ?: partition.overflowFor(request)
+                    ?: partition.idleInstanceFor(request)
             when {
-                instance != null -> onStart(QueueDecision.Start(request, instance.id))
+                instance != null ->
+                    onStart(
+                        QueueDecision.Start(request, instance.id, pool.holderBeside(instance, request)),
+                    )
                 nowMs >= request.refuseAfterMs -> refused += QueueDecision.Refuse(request)
                 else -> waiting += request
             }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
@@ -56,7 +56,7 @@
     val limits: RequestLimits get() = instances.limits
     val leaving = LeavingCosts(settings.dataCentre, entryCount, instances::isTimed, settings.leaving)
     val queues =
-        StreamQueues(loop, nowMs, instances, entryCount, readMemory) {
+        StreamQueues(settings.instance, loop, nowMs, instances, entryCount, readMemory) {
             config.current?.longestTargetMsOf(it) ?: 0
         }
     val permits = PermitQueue(loop, nowMs)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
@@ -63,6 +63,13 @@
             .help("Attempts at instances that counted as cold, by upstream")
             .labelNames("upstream")
             .register(registry)
+    private val copies =
+        Counter
+            .builder()
+            .name("teaselspring_cached_part_copies_total")
+            .help("Attempts whose instance was told to fetch cached parts from another one, by upstream")
+            .labelNames("upstream")
+            .register(registry)
     private val coldRefusals =
         Counter
             .builder()
@@ -182,6 +189,8 @@
 
     fun coldAttempt(upstream: String) = coldAttempts.labelValues(upstream).inc()
 
+    fun cachedPartCopied(upstream: String) = copies.labelValues(upstream).inc()
+
     fun coldRefused(upstream: String) = coldRefusals.labelValues(upstream).inc()
 
     fun storeRestored() = storeRestores.inc()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HeaderNames.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HeaderNames.kt
@@ -21,6 +21,7 @@
     val notRun: String = "X-Not-Run",
     val load: String = "X-Load",
     val instanceId: String = "X-Instance-Id",
+    val fetchFrom: String = "X-Fetch-From",
     val requestLimit: String = "X-Request-Limit",
     val leaving: String = "X-Leaving",
     val warmUpLeft: String = "X-Warm-Up-Left-Ms",
@@ -28,7 +29,7 @@
 ) {
     /** Lower-case names that are not copied from a caller's request to an upstream. */
     val notForwarded: Set<String> =
-        (systemOnly + listOf(key, organisation, expectInstance, priority, timeBudgetMs) + perConnection)
+        (systemOnly + listOf(key, organisation, expectInstance, priority, timeBudgetMs, fetchFrom) + perConnection)
             .mapTo(HashSet()) { it.lowercase() }
 
     companion object {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -28,7 +28,8 @@
 
 /**
  * An attempt of [authorised] on [instance], which is expected to prefill [prefillTokens] of the [prompt]. Reports its
- * result to [execution].
+ * result to [execution]. Where the upstream's engines copy cached parts, [instance] is told to fetch from [holder]
+ * what it lacks of the prompt.
  */
 internal class InstanceAttempt(
     private val gateway: Gateway,
@@ -37,6 +38,7 @@
     private val instance: UpstreamInstance,
     private val prompt: List<PromptPart>,
     private val prefillTokens: Long,
+    private val holder: UpstreamInstance? = null,
 ) : ExchangeListener {
     private val names = gateway.settings.headers
     private val unsharedTokens = prompt.lastOrNull()?.tokens ?: 0
@@ -104,6 +106,10 @@
         headers[names.priority] = authorised.priority.coerceIn(0, MAX_PRIORITY_VALUE).toString()
         authorised.organisation?.let { headers[names.organisation] = it.value }
         afterEventId?.let { headers[LAST_EVENT_ID] = it }
+        if (holder != null && gateway.copiesCachedParts(authorised.upstream)) {
+            headers[names.fetchFrom] = holder.registered.address
+            gateway.metrics.cachedPartCopied(authorised.upstream.value)
+        }
         return headers
     }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -111,9 +111,10 @@
     override fun onDispatched(
         instance: UpstreamInstance,
         uncachedTokens: Long,
+        holder: UpstreamInstance?,
     ) {
         queueId = null
-        startAttempt(instance, uncachedTokens)
+        startAttempt(instance, uncachedTokens, holder)
     }
 
     override fun onQueueTimeout() {
@@ -155,6 +156,7 @@
     private fun startAttempt(
         instance: UpstreamInstance,
         uncachedTokens: Long,
+        holder: UpstreamInstance? = null,
     ) {
         if (refuseQuarantined()) return
         val waitedMs = gateway.nowMs() - arrivedMs
@@ -162,7 +164,7 @@
         gateway.logDispatch(requestId, authorised, instance, DispatchedPrompt(sharedParts, uncachedTokens), waitedMs)
         attempts.begin(instance.registered.id)
         attempt =
-            InstanceAttempt(gateway, this, authorised, instance, prompt, uncachedTokens).also {
+            InstanceAttempt(gateway, this, authorised, instance, prompt, uncachedTokens, holder).also {
                 it.start(request, deadlineMs, stream.lastEventId)
             }
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
@@ -13,14 +13,19 @@
 import io.teaselspring.core.placement.PromptPart
 import io.teaselspring.core.placement.QueuedRequest
 import io.teaselspring.core.placement.RequestQueue
+import io.teaselspring.core.placement.isLentTo
 import java.util.concurrent.TimeUnit
 
 /** Callbacks of the queue to a waiting request. */
 internal interface WaitingRequest {
-    /** The request goes to [instance], which has to prefill about [uncachedTokens] of its prompt. */
+    /**
+     * The request goes to [instance], which has to prefill about [uncachedTokens] of its prompt. Unless null, [holder]
+     * has its shared part cached.
+     */
     fun onDispatched(
         instance: UpstreamInstance,
         uncachedTokens: Long,
+        holder: UpstreamInstance? = null,
     )
 
     /** The request has exceeded its time limit in the queue. */
@@ -29,6 +34,7 @@
 
 /** The queues of all upstreams. */
 internal class StreamQueues(
+    private val entry: InstanceId,
     private val loop: EventLoop,
     private val nowMs: () -> Long,
     private val instances: UpstreamInstances,
@@ -97,7 +103,8 @@
                     val view = views.getValue(start.instance)
                     val uncached = view.recordPrompt(start.request.parts)
                     if (view.memoryTokens == null) readMemory(view.instance)
-                    requests.remove(start.request.id)?.onDispatched(view.instance, uncached)
+                    val holder = start.holder?.let { views.getValue(it).instance }
+                    requests.remove(start.request.id)?.onDispatched(view.instance, uncached, holder)
                 }
             expired.forEach { requests.remove(it.request.id)?.onQueueTimeout() }
             isDispatching = false
@@ -106,9 +113,11 @@
 
         private fun views(nowMs: Long): Map<InstanceId, UpstreamInstanceView> {
             val available = instances.available(upstream)
-            val stallMs = if (instances.isTimed(upstream)) timedStallMs(longestTargetMs(upstream)) else STREAM_STALL_MS
+            val isTimed = instances.isTimed(upstream)
+            val stallMs = if (isTimed) timedStallMs(longestTargetMs(upstream)) else STREAM_STALL_MS
+            val isLent = { id: InstanceId -> isTimed && isLentTo(entry.value, id.value, entryCount(), nowMs) }
             return available.associate {
-                it.registered.id to UpstreamInstanceView(it, nowMs, stallMs)
+                it.registered.id to UpstreamInstanceView(it, nowMs, stallMs, isLent)
             }
         }
 
@@ -135,11 +144,13 @@
     val instance: UpstreamInstance,
     private val nowMs: Long,
     stallMs: Long,
+    private val isLent: (InstanceId) -> Boolean,
 ) : InstanceView {
     override val id: InstanceId get() = instance.registered.id
     override val dataCentre: DataCentre get() = instance.registered.dataCentre
     override val isEjected: Boolean = instance.isEjected(nowMs, stallMs)
     override val hasPermit: Boolean get() = instance.limit.hasPermit(nowMs) && instance.admitsRequest(nowMs)
+    override val lendsNow: Boolean by lazy(LazyThreadSafetyMode.NONE) { isLent(id) }
     override val speed: Double = instance.load.workTime.speed
     override val load: KnownLoad get() = instance.load
     override val slots: Int? get() =
@@ -171,3 +182,7 @@
 private const val TIMED_STALL_PCT = 150
 private const val PERCENT = 100
 private const val MAX_STALL_MS = 3_000L
+
+/** Whether engines of [upstream] fetch cached parts from each other; only a timed upstream is asked to. */
+internal fun Gateway.copiesCachedParts(upstream: UpstreamName): Boolean =
+    instances.isTimed(upstream) && config.current?.propertiesOf(upstream)?.copiesCachedParts == true
