Move the matching of routes and models to core

Cause: the configuration check needs to know which route and which engine a request reaches. The functions that decide it were internal to the entry.

Change: routeOf, upstreamOf, the chat and models paths and the longest request timeout move unchanged to core.config.RouteMatch; the entry uses them from there.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/entry/CallerHandler.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/CallerHandler.kt
@@ -17,6 +17,8 @@
 import io.ktor.server.response.respondText
 import io.ktor.utils.io.readAvailable
 import io.teaselspring.core.RequestId
+import io.teaselspring.core.config.MODELS_PATH
+import io.teaselspring.core.config.routeOf
 import io.teaselspring.daemon.config.Caller
 import io.teaselspring.daemon.config.ConfigSource
 import io.teaselspring.daemon.http.REQUEST_ID_HEADER
@@ -205,7 +207,6 @@
         }
 }
 
-private const val MODELS_PATH = "/v1/models"
 private const val READ_BYTES = 8 * 1024
 private const val ISOLATED_RETRY_MS = 5_000L
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/entry/Routing.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/Routing.kt
@@ -12,10 +12,13 @@
 import io.teaselspring.core.OrganisationId
 import io.teaselspring.core.RequestId
 import io.teaselspring.core.UpstreamName
+import io.teaselspring.core.config.CHAT_PATH
+import io.teaselspring.core.config.MAX_REQUEST_TIMEOUT_MS
 import io.teaselspring.core.config.Route
 import io.teaselspring.core.config.ServiceClass
-import io.teaselspring.core.config.SiteConfig
-import io.teaselspring.core.config.UpstreamKind
+import io.teaselspring.core.config.UNSPECIFIED_TIERS
+import io.teaselspring.core.config.routeOf
+import io.teaselspring.core.config.upstreamOf
 import io.teaselspring.daemon.config.Caller
 import io.teaselspring.daemon.config.SiteView
 import io.teaselspring.daemon.http.forUpstream
@@ -23,14 +26,9 @@
 import io.teaselspring.protocol.Message
 import io.teaselspring.protocol.RequestKind
 
-/** Path of chat completions. */
-const val CHAT_PATH = "/v1/chat/completions"
-
 /** Header with the caller's timeout for the request, in milliseconds. */
 const val TIMEOUT_HEADER = "X-Request-Timeout-Ms"
 
-private const val DEFAULT_TIMEOUT_MS = 600_000L
-
 /** Class of requests on routes whose class is not configured: the lowest priority. */
 private val FALLBACK_CLASS = ServiceClass(tier = Int.MAX_VALUE, firstTokenTargetMs = 60_000)
 
@@ -113,26 +111,16 @@
 /** Form of the response: the engine's events, one JSON object merged from them, or the unchanged upstream response. */
 internal enum class ResponseForm { EVENTS, OBJECT, PASSED_THROUGH }
 
-/** Returns the route with the longest prefix of [path] that ends at a `/` or at the end of the path. */
-internal fun SiteConfig.routeOf(path: String): Route? =
-    routes.values.filter { path.hasPrefix(it.pathPrefix) }.maxByOrNull { it.pathPrefix.length }
-
-private fun String.hasPrefix(prefix: String): Boolean {
-    val path = substringBefore('?')
-    return path.startsWith(prefix) &&
-        (path.length == prefix.length || prefix.endsWith('/') || path[prefix.length] == '/')
-}
-
 /** Routes [request] of [caller] by the configuration, or returns the refusal. */
 internal fun SiteView.route(
     request: CallerRequest,
     caller: Caller?,
 ): Either<Refusal, RoutedRequest> {
     val route = site.routeOf(request.path)
-    val timeoutMs = request.header(TIMEOUT_HEADER)?.toLongOrNull() ?: DEFAULT_TIMEOUT_MS
+    val timeoutMs = request.header(TIMEOUT_HEADER)?.toLongOrNull() ?: MAX_REQUEST_TIMEOUT_MS
     return when {
-        timeoutMs !in 1..DEFAULT_TIMEOUT_MS ->
-            refused(400, "invalid_request_error", "$TIMEOUT_HEADER must be from 1 to $DEFAULT_TIMEOUT_MS")
+        timeoutMs !in 1..MAX_REQUEST_TIMEOUT_MS ->
+            refused(400, "invalid_request_error", "$TIMEOUT_HEADER must be from 1 to $MAX_REQUEST_TIMEOUT_MS")
         request.path.substringBefore('?') == CHAT_PATH -> routeChat(request, route, caller, timeoutMs)
         route == null -> refused(404, "not_found", "no route for this path")
         else -> routePlain(request, route, caller, timeoutMs).right()
@@ -198,17 +186,6 @@
         }
     }
 
-/** Values of `service_tier` for which the route's class applies. */
-private val UNSPECIFIED_TIERS = setOf("auto", "default")
-
-private fun SiteConfig.upstreamOf(
-    model: ModelName,
-    route: Route?,
-): UpstreamName? {
-    val serving = upstreams.filterValues { it.kind == UpstreamKind.MODEL_ENGINE && model in it.models }.keys
-    return route?.upstream?.takeIf { it in serving } ?: serving.firstOrNull()
-}
-
 private fun SiteView.weightOf(caller: Caller?) = caller?.let { organisations[it.organisation]?.weight } ?: 1
 
 private fun refused(
