--- a/core/src/main/kotlin/io/teaselspring/core/config/ConfigValidation.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/config/ConfigValidation.kt
@@ -103,5 +103,8 @@
     }
 
 /** The configuration in force in [dataCentre]. */
-public fun ConfigState.siteConfig(dataCentre: DataCentre): SiteConfig =
-    decodeSite(overlays[dataCentre]?.let(base::mergedWith) ?: base)
+public fun ConfigState.siteConfig(dataCentre: DataCentre): SiteConfig = decodeSite(documentOf(dataCentre))
+
+/** The document in force in [dataCentre]; a null data centre stands for one without an overlay. */
+internal fun ConfigState.documentOf(dataCentre: DataCentre?): JsonObject =
+    overlays[dataCentre]?.let(base::mergedWith) ?: base
