Add teaselspringctl config check

Cause: files could be checked only by trying to apply or compare them, which needs a daemon and reports errors only.

Change: the command reads a base and overlays, adds what a daemon says is in force if one is configured and answers, and prints findings and differences as text or JSON. It exits with 0 for no findings, 1 for warnings and 2 for errors. A daemon that does not answer is stated and does not alter the exit code. Reading files and the overlay option are shared with apply and diff, whose message for an unreadable file now has the form of other errors.

--- a/ctl/src/main/kotlin/io/teaselspring/ctl/DocumentCommands.kt
+++ b/ctl/src/main/kotlin/io/teaselspring/ctl/DocumentCommands.kt
@@ -3,12 +3,16 @@
  */
 package io.teaselspring.ctl
 
+import arrow.core.Either
+import arrow.core.left
+import com.github.ajalt.clikt.core.ParameterHolder
 import com.github.ajalt.clikt.parameters.options.convert
 import com.github.ajalt.clikt.parameters.options.multiple
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.long
 import com.github.ajalt.clikt.parameters.types.path
 import io.teaselspring.core.DataCentre
+import io.teaselspring.core.config.ConfigProblem
 import io.teaselspring.core.config.NamedDocument
 import io.teaselspring.core.config.parseDocument
 import io.teaselspring.core.config.validateDocuments
@@ -31,13 +35,7 @@
     example: String,
 ) : CtlCommand(name, about, example) {
     private val base by option(help = "file of the base", metavar = "FILE").path()
-    private val overlay by option(
-        help = "file of a data centre's overlay; may be given several times",
-        metavar = "DC=FILE",
-    ).convert { text ->
-        val (dataCentre, file) = text.split('=', limit = 2).takeIf { it.size == 2 } ?: fail("expected DC=FILE")
-        dataCentre to Path(file)
-    }.multiple()
+    private val overlay by overlayOption()
     private val removeOverlay by option(help = "data centre whose overlay is deleted", metavar = "DC").multiple()
     private val basedOn by option(help = "version that the files are based on, by default the one in force").long()
 
@@ -73,13 +71,28 @@
     }
 
     private fun read(file: Path): NamedDocument =
-        try {
-            parseDocument(file.toString(), file.readText()).fold({ fail(ExitCode.INVALID_INPUT, "$it") }, { it })
-        } catch (e: IOException) {
-            fail(ExitCode.INVALID_INPUT, "$file: cannot be read: $e")
-        }
+        readDocument(file).fold({ fail(ExitCode.INVALID_INPUT, "$it") }, { it })
 }
 
+/** The option for the files of overlays, by data centre. */
+internal fun ParameterHolder.overlayOption() =
+    option(
+        "--overlay",
+        help = "file of a data centre's overlay; may be given several times",
+        metavar = "DC=FILE",
+    ).convert { text ->
+        val (dataCentre, file) = text.split('=', limit = 2).takeIf { it.size == 2 } ?: fail("expected DC=FILE")
+        dataCentre to Path(file)
+    }.multiple()
+
+/** The document in [file], or why it cannot be read. */
+internal fun readDocument(file: Path): Either<ConfigProblem, NamedDocument> =
+    try {
+        parseDocument(file.toString(), file.readText())
+    } catch (e: IOException) {
+        ConfigProblem(file.toString(), "$", "a file that cannot be read ($e)", "JSON with comments").left()
+    }
+
 internal class Apply :
     FilesCommand(
         "apply",
--- a/ctl/src/main/kotlin/io/teaselspring/ctl/Main.kt
+++ b/ctl/src/main/kotlin/io/teaselspring/ctl/Main.kt
@@ -25,6 +25,9 @@
     private val key: () -> String?,
     private val json: Boolean,
 ) {
+    /** Whether the options name a daemon. */
+    val hasDaemon: Boolean = daemonOption != null
+
     /** The daemon named by the options; a command that needs none never asks. */
     val daemon: DaemonClient by lazy {
         val url =
@@ -81,7 +84,8 @@
     override fun help(context: Context): String = "Manages a teaselspring installation through any of its entries."
 
     override fun helpEpilog(context: Context): String =
-        "Exit codes: " + ExitCode.entries.joinToString { "${it.code} ${it.meaning}" } + "." +
+        "Exit codes: " + ExitCode.entries.joinToString { "${it.code} ${it.meaning}" } +
+            "; of `config check` $CHECK_EXIT_CODES." +
             "\n\nShell completion: `source <(teaselspringctl completion bash)`"
 
     override fun run() {
@@ -99,7 +103,8 @@
         Group("route", "Routes.").subcommands(RouteList()),
         Apply(),
         Diff(),
-        Group("config", "The configuration and its versions.").subcommands(ConfigShow(), ConfigHistory(), ConfigWait()),
+        Group("config", "The configuration and its versions.")
+            .subcommands(ConfigCheck(), ConfigShow(), ConfigHistory(), ConfigWait()),
         Usage(),
         Status(),
         State(),
