Partition instances by shares, with small ones for adaptive upstreams

The latency groups of an upstream had fixed shares of its instances, whatever their demand. The partition now takes shares: the fixed ones by default, and one eighth for each group but the last on upstreams that are timed or where the setting adaptiveGroups is true (platform adapter: contracts pressure or places). Instances keep their order, so a change of shares moves only those between the old and the new ends of groups.

--- a/core/src/main/kotlin/io/teaselspring/core/placement/InstancePartition.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/InstancePartition.kt
@@ -12,10 +12,11 @@
     val allowed: Set<DataCentre>? = null,
 )
 
-/** The pools of [instances] at [nowMs], by latency group. */
+/** The pools of [instances] at [nowMs], by latency group; the groups have [shares] of the instances. */
 internal class InstancePartition(
     instances: List<InstanceView>,
     groups: Int,
+    shares: GroupShares,
     private val policy: QueuePolicy,
     private val entries: Int,
     private val meanSizes: Map<LatencyGroup, PromptSize>,
@@ -26,7 +27,7 @@
 ) {
     private val permitted = instances.filter { it.hasPermit }
     private val healthyByRestriction = HashMap<Set<DataCentre>?, List<InstanceView>>()
-    private val groupByInstance = hashes.partition(instances.map { it.id }, groups)
+    private val groupByInstance = hashes.partition(instances.map { it.id }, groups, shares)
     private val pools = HashMap<PoolKey, InstancePool>()
 
     /** The instances in [allowed] that are not ejected, or all there if all are. */
--- a/core/src/main/kotlin/io/teaselspring/core/placement/LatencyGroup.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/LatencyGroup.kt
@@ -44,21 +44,20 @@
 }
 
 /**
- * Assigns each of [ids] to one of [groups] groups; returns an empty map if there are too few instances to partition.
+ * Assigns each of [ids] to one of [groups] groups with [shares]; returns an empty map if there are too few instances to
+ * partition. The order of the instances does not depend on the shares, so a change of shares moves only the instances
+ * between the old and the new ends of groups.
  */
 internal fun partitionInstances(
     ids: List<InstanceId>,
     groups: Int,
+    shares: GroupShares = GroupShares.FIXED,
 ): Map<InstanceId, Int> {
     if (groups < 2 || ids.size < MIN_PARTITIONED_INSTANCES) return emptyMap()
     val weights = ids.associateWith { rendezvousWeight(PARTITION_SEED, it) }
     val ranked = ids.sortedByDescending { weights.getValue(it) }
-    val ends =
-        PARTITION_FRACTIONS.take(groups - 1).runningFold(0) { end, fraction ->
-            end +
-                maxOf(1, Math.round(ids.size * fraction).toInt())
-        }
-    return ranked.withIndex().associate { (position, id) -> id to ends.drop(1).count { position >= it } }
+    val ends = shares.ends(ids.size, groups)
+    return ranked.withIndex().associate { (position, id) -> id to ends.count { position >= it } }
 }
 
 /** Returns the [healthy] instances that [partition] assigns to [group], or all of them if there is none. */
@@ -83,4 +82,4 @@
 private const val MIN_PARTITIONED_INSTANCES = 4
 
 /** Fractions of the instances for the first groups. The last group has the rest. */
-private val PARTITION_FRACTIONS = listOf(0.15, 0.25)
+internal val PARTITION_FRACTIONS: List<Double> = listOf(0.15, 0.25)
--- a/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/Placement.kt
@@ -54,7 +54,8 @@
  * Chooses one of [candidates], or returns null if all that are allowed and have a permit are in [tried]. A request
  * without a shared part goes to the least loaded instance, as does one for which every instance is over a threshold of
  * [policy]. [random] returns a uniformly distributed non-negative integer below its argument. With [leaving], a
- * request without a shared part leaves its data centre only where that pays.
+ * request without a shared part leaves its data centre only where that pays. The latency groups have [shares] of the
+ * candidates.
  */
 public fun chooseInstance(
     candidates: List<PlacementCandidate>,
@@ -63,11 +64,12 @@
     random: (Int) -> Int,
     policy: PlacementPolicy = PlacementPolicy(),
     leaving: LeavingContext? = null,
+    shares: GroupShares = GroupShares.FIXED,
 ): PlacementCandidate? {
     val untried =
         candidates.filter { it.id !in tried && it.hasPermit && request.allowedDataCentres.allows(it.dataCentre) }
     val healthy = untried.filter { !it.isEjected }.ifEmpty { untried }
-    val partition = partitionInstances(candidates.map { it.id }, request.group.count)
+    val partition = partitionInstances(candidates.map { it.id }, request.group.count, shares)
     val pool = instancesFor(request.group, healthy, partition) { it.id }
     if (pool.size <= 1) return pool.firstOrNull()
     val part = request.sharedPart
--- a/core/src/main/kotlin/io/teaselspring/core/placement/RendezvousCache.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/RendezvousCache.kt
@@ -10,6 +10,7 @@
 internal class RendezvousCache {
     private var partitionedIds = emptyList<InstanceId>()
     private var groups = 0
+    private var shares = GroupShares.FIXED
     private var groupByInstance = emptyMap<InstanceId, Int>()
     private val preferredByPool = HashMap<PoolKey, PreferredInstances>()
 
@@ -17,11 +18,13 @@
     fun partition(
         ids: List<InstanceId>,
         groups: Int,
+        shares: GroupShares = GroupShares.FIXED,
     ): Map<InstanceId, Int> {
-        if (groups != this.groups || ids != partitionedIds) {
-            groupByInstance = partitionInstances(ids, groups)
+        if (groups != this.groups || shares != this.shares || ids != partitionedIds) {
+            groupByInstance = partitionInstances(ids, groups, shares)
             partitionedIds = ids
             this.groups = groups
+            this.shares = shares
         }
         return groupByInstance
     }
--- a/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
@@ -155,13 +155,14 @@
 
     /**
      * Removes and returns the requests to refuse at [nowMs], and calls [onStart] for each request to send to one of
-     * [instances], which are partitioned among [groups] latency groups. [onStart] has to update the load and the
-     * pending prefill tokens of the instance, because it is called before the next request is considered.
+     * [instances], which are partitioned among [groups] latency groups with [shares]. [onStart] has to update the load
+     * and the pending prefill tokens of the instance, because it is called before the next request is considered.
      */
     public fun dispatch(
         nowMs: Long,
         instances: List<InstanceView>,
         groups: Int,
+        shares: GroupShares = GroupShares.FIXED,
         onStart: (QueueDecision.Start) -> Unit,
     ): List<QueueDecision.Refuse> {
         if (pendingAverages.size > instances.size) pendingAverages.retain(instances.mapTo(HashSet()) { it.id })
@@ -169,6 +170,7 @@
             InstancePartition(
                 instances,
                 groups,
+                shares,
                 policy,
                 entries(),
                 meanSizes,
--- a/core/src/test/kotlin/io/teaselspring/core/placement/RendezvousCacheTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/placement/RendezvousCacheTest.kt
@@ -40,6 +40,9 @@
             lists.forEach { instances ->
                 val ids = instances.map { it.id }
                 listOf(2, 3, 3).forEach { cache.partition(ids, it) shouldBe partitionInstances(ids, it) }
+                listOf(GroupShares.INITIAL, GroupShares(listOf(0.4)), GroupShares.FIXED).forEach {
+                    cache.partition(ids, 3, it) shouldBe partitionInstances(ids, 3, it)
+                }
             }
         }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
@@ -65,6 +65,7 @@
             attempts.tried,
             randomBelow,
             leaving = leaving.contextFor(authorised.upstream, available),
+            shares = shares.of(authorised.upstream),
         )
     return chosen?.let { candidate -> available.firstOrNull { it.registered.id == candidate.id } }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
@@ -8,6 +8,7 @@
 import io.teaselspring.core.DataCentre
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.UpstreamName
+import io.teaselspring.core.placement.GroupShares
 import io.teaselspring.core.placement.InstanceView
 import io.teaselspring.core.placement.KnownLoad
 import io.teaselspring.core.placement.PromptPart
@@ -34,6 +35,7 @@
     private val instances: UpstreamInstances,
     private val entryCount: () -> Int,
     private val readMemory: (UpstreamInstance) -> Unit,
+    private val sharesOf: (UpstreamName) -> GroupShares,
     private val longestTargetMs: (UpstreamName) -> Long,
 ) {
     private val queues = HashMap<UpstreamName, UpstreamQueue>()
@@ -93,7 +95,7 @@
             val now = nowMs()
             val views = views(now)
             val expired =
-                queue.dispatch(now, views.values.toList(), groupCount) { start ->
+                queue.dispatch(now, views.values.toList(), groupCount, sharesOf(upstream)) { start ->
                     val view = views.getValue(start.instance)
                     val uncached = view.recordPrompt(start.request.parts)
                     if (view.memoryTokens == null) readMemory(view.instance)
