--- a/core/src/main/kotlin/io/teaselspring/core/usage/UsageRows.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/usage/UsageRows.kt
@@ -10,6 +10,7 @@
 import io.teaselspring.core.OrganisationId
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonElement
 
 /** The usage of one attempt. [sequence] counts the records of one agent for one entry, from 1. */
 @Serializable
@@ -66,7 +67,8 @@
  * The row of an entry's incarnation in one window: records of agents that ended before they stored them, or the
  * requests that an entry without agents passed on. With [isFinal] the entry adds nothing more to the window, with
  * [isLeaving] it will have no row in later windows. The row was written at [storedAtMs], in Unix time, when all that
- * the entry knows of reported windows was stored in the [generation] of the store.
+ * the entry knows of reported windows was stored in the [generation] of the store. [groups] is the demand by latency
+ * group, which is decoded apart because usage must be reported also where it is unreadable.
  */
 @Serializable
 public data class EntryUsageRow(
@@ -76,6 +78,7 @@
     @SerialName("leaving") val isLeaving: Boolean = false,
     @SerialName("stored_at_ms") val storedAtMs: Long? = null,
     val generation: Long? = null,
+    val groups: JsonElement? = null,
 )
 
 /** The figures of a closed window, fixed before they are reported, under the lease's [epoch]. */
