Store the demand by latency group in the usage row of each entry

Shares that follow the demand need the demand of all entries, and an entry knows only its own. Each entry sums requests that arrived and were sent, prompt tokens to prefill and output tokens of adaptive upstreams by latency group, and stores the sums in the usage row that it writes anyway. The last row of a window has all of them, so they cause no write of their own.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/DirectUsage.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/DirectUsage.kt
@@ -10,6 +10,11 @@
 import io.teaselspring.core.Incarnation
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.OrganisationId
+import io.teaselspring.core.UpstreamName
+import io.teaselspring.core.capacity.DemandCounter
+import io.teaselspring.core.capacity.GroupDemand
+import io.teaselspring.core.capacity.encodeDemand
+import io.teaselspring.core.placement.LatencyGroup
 import io.teaselspring.core.usage.EntryUsageRow
 import io.teaselspring.core.usage.UsageCount
 import io.teaselspring.core.usage.UsageWindow
@@ -47,6 +52,7 @@
 
 private class WindowCounts {
     val requests = HashMap<OrganisationId, Long>()
+    val demand = DemandCounter()
     var rowVersion = ABSENT
     var isStored = false
     var isFinal = false
@@ -77,6 +83,16 @@
         counts.isStored = false
     }
 
+    /**
+     * Adds [demand] to that of [group]. It is stored with the counts, at the latest with the last ones of the window,
+     * and causes no write of its own.
+     */
+    fun recordDemand(
+        upstream: UpstreamName,
+        group: LatencyGroup,
+        demand: GroupDemand,
+    ) = windows.getOrPut(currentWindow()) { WindowCounts() }.demand.record(upstream, group, demand)
+
     /** Stores the counts until cancelled, at intervals that limit the loss when one of [entries] entries is killed. */
     suspend fun run(entries: () -> Int): Nothing {
         while (true) {
@@ -146,6 +162,7 @@
                 isStopping,
                 clock.now().toEpochMilliseconds(),
                 generation,
+                encodeDemand(counts.demand.sums),
             )
         val writes =
             listOf(
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
@@ -10,6 +10,8 @@
 import io.teaselspring.core.OrganisationId
 import io.teaselspring.core.Region
 import io.teaselspring.core.UpstreamName
+import io.teaselspring.core.capacity.GroupDemand
+import io.teaselspring.core.placement.LatencyGroup
 import io.teaselspring.core.placement.LeavingPolicy
 import io.teaselspring.core.retry.RetryBudget
 
@@ -46,6 +48,7 @@
     val config: ConfigState,
     val instances: UpstreamInstances,
     val recordRequest: (OrganisationId) -> Unit,
+    private val storeDemand: (UpstreamName, LatencyGroup, GroupDemand) -> Unit,
     val entryCount: () -> Int,
     val randomBelow: (Int) -> Int,
     readMemory: (UpstreamInstance) -> Unit,
@@ -74,8 +77,29 @@
     val isReady: Boolean
         get() = !isDraining && instances.isLoaded && config.ageMs().let { it != null && it < settings.readyMs }
 
+    /** Records the [demand] of [request], unless the upstream has only one latency group or is not adaptive. */
+    fun recordDemand(
+        request: AuthorisedRequest,
+        demand: GroupDemand,
+    ) {
+        val isShared = request.group.count > 1 && shares.isAdaptive(request.upstream)
+        if (isShared) storeDemand(request.upstream, request.group, demand)
+    }
+
+    /** Records that [events] of a response to [request] have arrived. */
+    fun recordEvents(
+        request: AuthorisedRequest,
+        events: Long,
+    ) {
+        val eventTokens = config.current?.propertiesOf(request.upstream)?.eventTokens ?: USUAL_EVENT_TOKENS
+        recordDemand(request, GroupDemand(outputTokens = events * eventTokens))
+    }
+
     fun retryBudget(upstream: UpstreamName): RetryBudget =
         budgets.getOrPut(upstream) {
             RetryBudget(settings.retrySharePct, { settings.retryMinimum / entryCount() }, settings.retryWindowMs)
         }
 }
+
+/** Tokens of an event of an upstream whose configuration does not state them. */
+private const val USUAL_EVENT_TOKENS = 4
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -56,6 +56,7 @@
             config,
             UpstreamInstances(runtime.connections, runtime.nowMs, limits, DataCentres(usage::entryCount)),
             usage::recordRequest,
+            usage::recordDemand,
             usage::entryCount,
             Random.Default::nextInt,
             InstanceMemory(scope, runtime.nowMs, platform.readMemory)::read,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayUsage.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayUsage.kt
@@ -6,7 +6,10 @@
 
 import io.teaselspring.core.Incarnation
 import io.teaselspring.core.OrganisationId
+import io.teaselspring.core.UpstreamName
+import io.teaselspring.core.capacity.GroupDemand
 import io.teaselspring.core.lease.ClockReading
+import io.teaselspring.core.placement.LatencyGroup
 import io.teaselspring.daemon.lease.LeaseKeeper
 import io.teaselspring.daemon.usage.USAGE_LEASE
 import io.teaselspring.daemon.usage.UsageReporter
@@ -70,6 +73,15 @@
     /** Counts a request of [organisation] that has started to run. */
     fun recordRequest(organisation: OrganisationId) = counts.recordRequest(organisation)
 
+    /** Adds [demand] to that of [group] on [upstream]; nothing stores it in an entry that does not report usage. */
+    fun recordDemand(
+        upstream: UpstreamName,
+        group: LatencyGroup,
+        demand: GroupDemand,
+    ) {
+        if (platform.usage != null) counts.recordDemand(upstream, group, demand)
+    }
+
     /** Stores counts and reports windows to [intake] until cancelled. */
     suspend fun report(intake: UsageIntake) {
         sharedClock.establishOrigin()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GroupShareState.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GroupShareState.kt
@@ -8,7 +8,7 @@
 
 /** The shares in force. Those of upstreams that are not adaptive, as [isAdaptive] tells, are fixed. */
 internal class GroupShareState(
-    private val isAdaptive: (UpstreamName) -> Boolean,
+    val isAdaptive: (UpstreamName) -> Boolean,
 ) {
     fun of(upstream: UpstreamName): GroupShares = if (isAdaptive(upstream)) GroupShares.INITIAL else GroupShares.FIXED
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.util.concurrent.ScheduledFuture
 import io.teaselspring.core.DataCentre
+import io.teaselspring.core.capacity.GroupDemand
 import io.teaselspring.core.routing.RoutingConfig
 import io.teaselspring.core.routing.RoutingDecision
 import io.teaselspring.core.routing.pickUpstream
@@ -97,6 +98,7 @@
         }
         if (refuseQuarantined()) return
         gateway.limits.recordDemand(upstream)
+        gateway.recordDemand(authorised, GroupDemand(arrived = 1))
         gateway.earlyRefusal(authorised, arrivedMs, deadlineMs)?.let { return refuse(it.reason, it.retryAfter) }
         timeout = gateway.loop.schedule({ onTimeout() }, timeoutMs, TimeUnit.MILLISECONDS)
         if (prompt.isEmpty()) tryNextInstance() else enqueue()
@@ -160,6 +162,8 @@
         val waitedMs = gateway.nowMs() - arrivedMs
         if (attempts.tried.isEmpty()) gateway.metrics.dispatched(authorised.route.name, waitedMs.milliseconds)
         gateway.logDispatch(requestId, authorised, instance, DispatchedPrompt(sharedParts, uncachedTokens), waitedMs)
+        val sent = if (attempts.tried.isEmpty()) 1L else 0L
+        gateway.recordDemand(authorised, GroupDemand(sent = sent, promptTokens = uncachedTokens))
         attempts.begin(instance.registered.id)
         attempt =
             InstanceAttempt(gateway, this, authorised, instance, prompt, uncachedTokens).also {
@@ -241,7 +245,10 @@
     /** Forwards [chunk] of the stream; the attempt keeps its ownership. Returns why it has to end, or null. */
     fun streamChunk(chunk: ByteBuf): String? {
         val hadEvents = stream.hasNewEvents
+        val eventsBefore = stream.completeEvents
         val problem = stream.forward(chunk, gateway.nowMs())
+        val events = stream.completeEvents - eventsBefore
+        if (events > 0) gateway.recordEvents(authorised, events)
         if (!hadEvents && stream.hasNewEvents) gateway.quarantine.recordResponse(sharedParts)
         return problem
     }
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/DirectUsageTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/DirectUsageTest.kt
@@ -9,9 +9,18 @@
 import io.kotest.matchers.shouldBe
 import io.teaselspring.core.Incarnation
 import io.teaselspring.core.OrganisationId
+import io.teaselspring.core.UpstreamName
+import io.teaselspring.core.capacity.GroupDemand
+import io.teaselspring.core.capacity.decodeDemand
+import io.teaselspring.core.placement.LatencyGroup
+import io.teaselspring.core.usage.UsageWindow
+import io.teaselspring.daemon.config.TABLE
 import io.teaselspring.daemon.control.FakePlatform
 import io.teaselspring.daemon.usage.UsageReporter
 import io.teaselspring.daemon.usage.UsageTable
+import io.teaselspring.daemon.usage.entryKey
+import io.teaselspring.ports.ABSENT
+import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.long
@@ -37,6 +46,9 @@
 
     fun entry(name: String) = DirectUsage(Incarnation(name), table, clock, LENGTH_MS)
 
+    /** The rows of the window that starts at [startMs]. */
+    suspend fun rows(startMs: Long) = checkNotNull(table.entryRows(UsageWindow(startMs)).getOrNull()).values
+
     /** The generation of the store, null while it names none. */
     var generation: Long? = null
 
@@ -102,6 +114,41 @@
             fleet.counted shouldBe listOf(2)
         }
 
+        // Guards the store against a write for each change of the demand, and the shares against missing sums.
+        test("demand by latency group is in the last row of its window and causes no write of its own") {
+            val fleet = Fleet()
+            val entry = fleet.entry("a")
+            entry.recordRequests(1)
+            entry.flush()
+            var writes = 0
+            fleet.platform.onApplied = { if (it.value != null) writes += 1 }
+            val demand = GroupDemand(arrived = 1, sent = 1, promptTokens = 70, outputTokens = 8)
+            repeat(2) { entry.recordDemand(UpstreamName("u"), LatencyGroup(1, 2), demand) }
+            entry.flush()
+            writes shouldBe 0
+            fleet.nowMs = LENGTH_MS + 300
+            entry.flush()
+            // The last row of the window and the first one of the next.
+            writes shouldBe 2
+            decodeDemand(checkNotNull(fleet.rows(0).single().groups)) shouldBe
+                mapOf(UpstreamName("u") to listOf(GroupDemand(), demand + demand))
+            fleet.rows(LENGTH_MS).single().groups shouldBe null
+        }
+
+        test("usage is reported also where the demand by latency group is unreadable") {
+            val fleet = Fleet()
+            fleet.nowMs = LENGTH_MS + 700
+            val count = """{"organisation":"hotel","class":"direct","requests":3}"""
+            listOf("7", "{\"u\":[null]}", "null", "\"x\"").forEachIndexed { index, groups ->
+                val row = """{"flush_id":"f","counts":[$count],"final":true,"groups":$groups}"""
+                val key = entryKey(UsageWindow(0), Incarnation("e$index/1"))
+                fleet.platform.platform.table
+                    .put(TABLE, key, Json.parseToJsonElement(row), ABSENT)
+            }
+            fleet.reporter("e0/1").reportDue()
+            fleet.reported() shouldBe mapOf(0L to 12L)
+        }
+
         test("a window waits for an entry that is cut off, and includes its counts if they come in time") {
             val fleet = Fleet()
             val first = fleet.entry("a")
