Publish shares of latency groups and follow them at all entries

Entries need the same shares, also after a restart. The holder of the usage lease plans them from the usage rows that it reads and writes one row for each upstream into the shared table, in a task of its own. All entries follow the row; a missing or unreadable one leaves the last shares in force and is written again. Upstreams that are not adaptive keep the fixed shares. The state page, a gauge and log lines show the shares in force.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -82,6 +82,7 @@
 
     init {
         runtime.metrics.observe(gateway.instances.dataCentres)
+        runtime.metrics.observeGroupShares(gateway::groupShares)
         gateway.instances.onTimedChanged = workTimeChecks::instancesChanged
         ReachabilityProbes(runtime.loop, gateway.instances, runtime.connections::checkReachable).start()
     }
@@ -150,9 +151,11 @@
                 SharedRows(
                     gateway.quarantine.reports,
                     limits,
+                    gateway.shares,
                     platform.storeGeneration,
                 ).follow(it, scope, runtime.clock)
             scope.launch { gateway.quarantine.reports.run() }
+            scope.launch { gateway.publishGroupShares(platform.table, usage) }
         }
         scope.launch { limits.run() }
         scope.launch { workTimeChecks.run() }
@@ -253,6 +256,7 @@
                         .forEach { add(it.value) }
                 }
                 putJsonArray("quarantined_parts") { gateway.quarantine.quarantined.forEach { add("$it") } }
+                putGroupShares(gateway.groupShares())
                 putJsonArray("instances") {
                     gateway.instances.all().forEach { instance ->
                         add(
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayUsage.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayUsage.kt
@@ -10,6 +10,8 @@
 import io.teaselspring.core.capacity.GroupDemand
 import io.teaselspring.core.lease.ClockReading
 import io.teaselspring.core.placement.LatencyGroup
+import io.teaselspring.core.usage.EntryUsageRow
+import io.teaselspring.core.usage.UsageWindow
 import io.teaselspring.daemon.lease.LeaseKeeper
 import io.teaselspring.daemon.usage.USAGE_LEASE
 import io.teaselspring.daemon.usage.UsageReporter
@@ -61,14 +63,21 @@
             times.usagePatience,
             entries::store,
             platform.storeGeneration::current,
+            { window, rows -> onRows(window, rows) },
         )
+
+    /** Gets the rows of all entries in a window that this entry is about to report, possibly more than once. */
+    var onRows: (UsageWindow, Collection<EntryUsageRow>) -> Unit = { _, _ -> }
     private val restored = Channel<Unit>(Channel.CONFLATED)
 
     /** The number of entries that serve requests. */
     val entryCount: Int get() = entries.value
 
     /** Whether this entry may report usage now. */
-    val isLeaseHeld: Boolean get() = lease.epochToSend() != null
+    val isLeaseHeld: Boolean get() = epochToSend() != null
+
+    /** The epoch of the usage lease while this entry holds it, else null. */
+    fun epochToSend(): Long? = lease.epochToSend()
 
     /** Counts a request of [organisation] that has started to run. */
     fun recordRequest(organisation: OrganisationId) = counts.recordRequest(organisation)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SharedRows.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SharedRows.kt
@@ -1,13 +1,16 @@
 /*
- * The table through which entries tell each other what they have learned from instances: crash reports, one row for
- * each entry, and limits of requests a second, one row for each instance that has stated one. All entries follow it.
+ * The table through which entries tell each other what they have learned: crash reports, one row for each entry, limits
+ * of requests a second, one row for each instance that has stated one, and shares of latency groups, one row for each
+ * adaptive upstream. All entries follow it.
  */
 package io.teaselspring.daemon.gateway
 
+import io.teaselspring.core.UpstreamName
 import io.teaselspring.core.decode.decodeOrNull
 import io.teaselspring.core.freshness.StoreGeneration
 import io.teaselspring.core.lease.ClockReading
 import io.teaselspring.core.limit.LimitAnnouncement
+import io.teaselspring.core.placement.GroupShares
 import io.teaselspring.core.quarantine.CrashReport
 import io.teaselspring.ports.WatchedTable
 import kotlinx.coroutines.CoroutineScope
@@ -30,9 +33,14 @@
     data class Limit(
         val announcement: LimitAnnouncement,
     ) : SharedRow
+
+    /** The shares of the latency groups of the upstream named by the key. */
+    data class Groups(
+        val shares: GroupShares,
+    ) : SharedRow
 }
 
-/** Prefix of the keys of limits; all other keys are names of entries. */
+/** Prefix of the keys of limits; keys without a prefix are names of entries. */
 internal const val LIMIT_KEY_PREFIX = "limit/"
 
 private val rowJson = Json { ignoreUnknownKeys = true }
@@ -43,17 +51,18 @@
     text: String,
 ): SharedRow? =
     decodeOrNull {
-        if (key.startsWith(LIMIT_KEY_PREFIX)) {
-            SharedRow.Limit(rowJson.decodeFromString<LimitAnnouncement>(text))
-        } else {
-            SharedRow.Crashes(decodeCrashReport(text))
+        when {
+            key.startsWith(LIMIT_KEY_PREFIX) -> SharedRow.Limit(rowJson.decodeFromString<LimitAnnouncement>(text))
+            key.startsWith(GROUPS_KEY_PREFIX) -> decodeShares(text)?.let(SharedRow::Groups)
+            else -> SharedRow.Crashes(decodeCrashReport(text))
         }
     }
 
-/** Passes the rows of the table on to [crashes] and [limits]. */
+/** Passes the rows of the table on to [crashes], [limits] and [shares]. */
 internal class SharedRows(
     private val crashes: CrashReports,
     private val limits: RequestLimits,
+    private val shares: GroupShareState,
     private val generation: StoreGeneration,
 ) : TableListener<SharedRow> {
     override fun onSnapshot(
@@ -61,6 +70,8 @@
         askedAt: ClockReading,
         gap: TableGap,
     ) {
+        // Requests with a prompt start once crash reports are known, and need the shares then.
+        shares.replaceAll(shares(rows))
         crashes.replaceAll(crashReports(rows), isComplete = gap != TableGap.RESTORE)
         limits.adopt(announcements(rows))
     }
@@ -69,6 +80,7 @@
         changes: Map<String, SharedRow?>,
         askedAt: ClockReading,
     ) {
+        shares.apply(shares(changes))
         crashes.apply(crashReports(changes))
         limits.adopt(announcements(changes))
     }
@@ -92,7 +104,16 @@
     }
 
     private fun crashReports(rows: Map<String, SharedRow?>) =
-        rows.filterKeys { !it.startsWith(LIMIT_KEY_PREFIX) }.mapValues { (it.value as? SharedRow.Crashes)?.report }
+        rows
+            .filterKeys { !it.startsWith(LIMIT_KEY_PREFIX) && !it.startsWith(GROUPS_KEY_PREFIX) }
+            .mapValues { (it.value as? SharedRow.Crashes)?.report }
+
+    private fun shares(rows: Map<String, SharedRow?>) =
+        rows
+            .filterKeys { it.startsWith(GROUPS_KEY_PREFIX) }
+            .map { (key, row) ->
+                UpstreamName(key.removePrefix(GROUPS_KEY_PREFIX)) to (row as? SharedRow.Groups)?.shares
+            }.toMap()
 
     private fun announcements(rows: Map<String, SharedRow?>) =
         rows.mapNotNull { (key, row) -> (row as? SharedRow.Limit)?.let { key to it.announcement } }.toMap()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -226,6 +226,9 @@
     /** Whether the registry has been read at least once. */
     var isLoaded = false
 
+    /** The number of instances of [upstream] that are listed and not draining. */
+    fun countOf(upstream: UpstreamName): Int = byUpstream[upstream].orEmpty().size
+
     /** The instances of [upstream] that may get one more request: not draining, leaving, evacuated or in a pause. */
     fun available(upstream: UpstreamName): List<UpstreamInstance> {
         val now = nowMs()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UsageCompleteness.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UsageCompleteness.kt
@@ -23,7 +23,8 @@
 
 /**
  * Waits for the counts of entries for at most [allowedLateness] after the end of a window of [lengthMs].
- * [own] is the entry that reports. [onEntriesCounted] gets the number of entries that had a row in a window.
+ * [own] is the entry that reports. [onEntriesCounted] gets the number of entries that had a row in a window, and
+ * [onRows] the rows of a window that is about to be reported, possibly more than once.
  */
 internal class UsageCompleteness(
     private val own: Incarnation,
@@ -33,6 +34,7 @@
     private val allowedLateness: Duration,
     private val onEntriesCounted: suspend (entries: Int) -> Unit,
     private val storeGeneration: () -> Long? = { null },
+    private val onRows: (UsageWindow, Collection<EntryUsageRow>) -> Unit = { _, _ -> },
 ) {
     private var lastReported: Pair<UsageWindow, Map<Incarnation, EntryUsageRow>>? = null
 
@@ -62,6 +64,7 @@
             val isPastLateness = nowMs - window.startMs - lengthMs >= allowedLateness.inWholeMilliseconds
             if (missing.isNotEmpty() && !isPastLateness) return@either WindowReadiness.WAITING
             if (missing.isNotEmpty()) log.warn("event=usage_incomplete window={} missing={}", window.id, missing)
+            onRows(window, rows.values)
             lastReported = window to withoutStopped(rows)
             onEntriesCounted(withoutStopped(rows).keys.distinctBy { it.instance }.size)
             if (mayBeReported && missing.isNotEmpty()) WindowReadiness.UNKNOWN else WindowReadiness.READY
