--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
@@ -10,6 +10,8 @@
 import io.teaselspring.core.OrganisationId
 import io.teaselspring.core.Region
 import io.teaselspring.core.UpstreamName
+import io.teaselspring.core.capacity.GroupDemand
+import io.teaselspring.core.placement.LatencyGroup
 import io.teaselspring.core.placement.LeavingPolicy
 import io.teaselspring.core.retry.RetryBudget
 
@@ -20,7 +22,8 @@
  * budget of an entry is [retrySharePct] percent of its successful requests in a window of [retryWindowMs], and at least
  * its share of [retryMinimum], which applies to all entries together. [assumedEntries] is the number of entries until
  * the real number is known. [regions] are those of the data centres, as far as known. [leaving] says what it costs to
- * send requests to another data centre.
+ * send requests to another data centre. With [adaptiveGroups] the sizes of the latency groups follow the demand on each
+ * upstream, else only on those that are timed.
  */
 data class GatewaySettings(
     val instance: InstanceId,
@@ -35,6 +38,7 @@
     val assumedEntries: Int = 10,
     val leaving: LeavingPolicy = LeavingPolicy(),
     val regions: Map<DataCentre, Region> = emptyMap(),
+    val adaptiveGroups: Boolean = false,
 )
 
 /** Shared state of one entry. */
@@ -44,6 +48,7 @@
     val config: ConfigState,
     val instances: UpstreamInstances,
     val recordRequest: (OrganisationId) -> Unit,
+    private val storeDemand: (UpstreamName, LatencyGroup, GroupDemand) -> Unit,
     val entryCount: () -> Int,
     val randomBelow: (Int) -> Int,
     readMemory: (UpstreamInstance) -> Unit,
@@ -55,8 +60,9 @@
     val memory: ByteBudget = runtime.memory
     val limits: RequestLimits get() = instances.limits
     val leaving = LeavingCosts(settings.dataCentre, entryCount, instances::isTimed, settings.leaving)
+    val shares = GroupShareState { settings.adaptiveGroups || instances.isTimed(it) }
     val queues =
-        StreamQueues(loop, nowMs, instances, entryCount, readMemory) {
+        StreamQueues(loop, nowMs, instances, entryCount, readMemory, shares::of) {
             config.current?.longestTargetMsOf(it) ?: 0
         }
     val permits = PermitQueue(loop, nowMs)
@@ -71,8 +77,29 @@
     val isReady: Boolean
         get() = !isDraining && instances.isLoaded && config.ageMs().let { it != null && it < settings.readyMs }
 
+    /** Records the [demand] of [request], unless the upstream has only one latency group or is not adaptive. */
+    fun recordDemand(
+        request: AuthorisedRequest,
+        demand: GroupDemand,
+    ) {
+        val isShared = request.group.count > 1 && shares.isAdaptive(request.upstream)
+        if (isShared) storeDemand(request.upstream, request.group, demand)
+    }
+
+    /** Records that [events] of a response to [request] have arrived. */
+    fun recordEvents(
+        request: AuthorisedRequest,
+        events: Long,
+    ) {
+        val eventTokens = config.current?.propertiesOf(request.upstream)?.eventTokens ?: USUAL_EVENT_TOKENS
+        recordDemand(request, GroupDemand(outputTokens = events * eventTokens))
+    }
+
     fun retryBudget(upstream: UpstreamName): RetryBudget =
         budgets.getOrPut(upstream) {
             RetryBudget(settings.retrySharePct, { settings.retryMinimum / entryCount() }, settings.retryWindowMs)
         }
 }
+
+/** Tokens of an event of an upstream whose configuration does not state them. */
+private const val USUAL_EVENT_TOKENS = 4
