--- a/core/src/test/kotlin/io/teaselspring/core/placement/IdleInstancesTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/placement/IdleInstancesTest.kt
@@ -9,7 +9,6 @@
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.ints.shouldBeInRange
 import io.kotest.matchers.shouldBe
-import io.kotest.matchers.shouldNotBe
 import io.teaselspring.core.InstanceId
 
 private class IdleEngine(
@@ -30,7 +29,7 @@
     ) = parts.sumOf { it.tokens }
 }
 
-private val longPrompts = LatencyGroup(1, 2)
+private val longPrompts = LatencyGroup(2, 3)
 
 private fun longRequest(id: Long) =
     QueuedRequest(
@@ -43,17 +42,19 @@
         refuseAfterMs = 2_400,
     )
 
-private fun interactiveIds(engines: List<IdleEngine>) =
-    partitionInstances(engines.map { it.id }, 2).filterValues { it == 0 }.keys
+private fun idsOfGroup(
+    engines: List<IdleEngine>,
+    group: Int,
+) = partitionInstances(engines.map { it.id }, 3).filterValues { it == group }.keys
 
 /** Fills the last group of [engines], dispatches one long prompt and returns what starts. */
 private fun startInFullGroup(engines: List<IdleEngine>): List<QueueDecision.Start> {
-    val interactive = interactiveIds(engines)
-    engines.filter { it.id !in interactive }.forEach { it.pendingPrefillTokens = 100_000 }
+    val longIds = idsOfGroup(engines, 2)
+    engines.filter { it.id in longIds }.forEach { it.pendingPrefillTokens = 100_000 }
     val queue = RequestQueue { 1 }
     queue.add(longRequest(1))
     val starts = mutableListOf<QueueDecision.Start>()
-    queue.dispatch(0, engines, 2) { starts += it }
+    queue.dispatch(0, engines, 3) { starts += it }
     return starts
 }
 
@@ -67,15 +68,21 @@
         test("a long prompt whose group is full goes to an idle instance, and its shared part comes from the holder") {
             val engines = engines()
             val start = startInFullGroup(engines).single()
-            (start.instance in interactiveIds(engines)) shouldBe true
-            start.holder shouldNotBe null
-            (start.holder in interactiveIds(engines)) shouldBe false
+            (start.instance in idsOfGroup(engines, 1)) shouldBe true
+            (start.holder in idsOfGroup(engines, 2)) shouldBe true
         }
 
         test("an instance that is slower than usual takes none, because a chunk would exceed the gaps of its group") {
             startInFullGroup(engines(speed = 0.6)).shouldBeEmpty()
         }
 
+        test("the first group lends none, because the most urgent streams run there") {
+            val engines = engines()
+            val middle = idsOfGroup(engines, 1)
+            engines.filter { it.id in middle }.forEach { it.pendingPrefillTokens = 1 }
+            startInFullGroup(engines).shouldBeEmpty()
+        }
+
         test("an instance that another entry may use takes none") {
             startInFullGroup(engines(lendsNow = false)).shouldBeEmpty()
         }
@@ -91,7 +98,7 @@
             val queue = RequestQueue { 1 }
             queue.add(longRequest(1))
             val starts = mutableListOf<QueueDecision.Start>()
-            queue.dispatch(0, engines(), 2) { starts += it }
+            queue.dispatch(0, engines(), 3) { starts += it }
             starts shouldHaveSize 1
             starts.single().holder shouldBe null
         }
