Keep the fixed share of the first latency group as its least one

Cause: one eighth of the engines is too little for the most urgent streams in their burst, and shares follow a burst by two windows.

--- a/core/src/main/kotlin/io/teaselspring/core/placement/GroupShares.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/GroupShares.kt
@@ -9,7 +9,8 @@
     val fractions: List<Double>,
 ) {
     /** The share of group [index], which is not the last one; that of [INITIAL] if none is stated for it. */
-    public fun of(index: Int): Double = fractions.getOrNull(index) ?: INITIAL_FRACTION
+    public fun of(index: Int): Double =
+        fractions.getOrNull(index) ?: if (index == 0) PARTITION_FRACTIONS.first() else INITIAL_FRACTION
 
     /** The positions at which the groups but the last of [groups] end, in the partition of [instances] instances. */
     internal fun ends(
@@ -34,6 +35,7 @@
         /**
          * The shares of an adaptive upstream while its demand is unknown. They are small because a group that is too
          * small overflows to later ones, while the last group cannot use the instances of a group that is too large.
+         * The first group has its fixed share, because its streams miss their event gaps beside long prompts.
          */
         public val INITIAL: GroupShares = GroupShares(emptyList())
     }
