Answer "not run" when a connection takes no byte of the request

Cause: a connection that opens and is reset before the request is written fails as broken, so the caller gets 502 although the system has taken no byte of the request. This happens when a listener closes with the connection in its accept queue.

Change: an outbound handler next to the socket notes whether it has taken a byte since the request was started. An exchange that fails before that, and before any head has arrived, ends as not sent, on both paths.

Result: UnsentRequestTest failed before in its two cases of a reset before the first byte (no body, 4 MB) and passes. Its third case holds the other side: a request that lies unread in a connection which the upstream resets stays broken, as nothing tells it from one that was read.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
@@ -22,6 +22,7 @@
 internal class HttpConnection(
     private val server: ServerConnections,
 ) : ChannelInboundHandlerAdapter() {
+    val writeProgress = WriteProgress()
     private lateinit var channel: Channel
     private var request: OutgoingRequest? = null
     private var listener: ExchangeListener? = null
@@ -74,6 +75,7 @@
         skippedHeads = 0
         skippedBytes = 0
         decoder = ResponseDecoder(request.method, ::headProof).also { channel.pipeline().addFirst(it) }
+        writeProgress.hasWritten = false
         writeFuture = channel.writeRequest(request)
         return RunningExchange(listener)
     }
@@ -264,7 +266,9 @@
         val current = listener
         listener = null
         close()
-        current?.broken(reason)
+        // A write that fails as a whole leaves nothing with the system, so the server cannot get the request.
+        val isUnsent = !writeProgress.hasWritten && currentHead == null && response == null
+        if (isUnsent) current?.notSent(reason) else current?.broken(reason)
     }
 
     override fun exceptionCaught(
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
@@ -36,7 +36,7 @@
 
 /** Receives the response of an exchange. The last call is one of [notSent], [refused], [end] and [broken]. */
 internal interface ExchangeListener {
-    /** The connection could not be opened, and no byte of the request has been sent. */
+    /** No byte of the request has been sent: the connection could not be opened, or failed before the first byte. */
     fun notSent(reason: String)
 
     /** As [notSent]: the server's host refused the connection. */
@@ -167,7 +167,7 @@
                 .handler(
                     object : ChannelInitializer<SocketChannel>() {
                         override fun initChannel(channel: SocketChannel) {
-                            channel.pipeline().addLast(HttpRequestEncoder(), connection)
+                            channel.pipeline().addLast(connection.writeProgress, HttpRequestEncoder(), connection)
                         }
                     },
                 ).connect(server.socketAddress)
