Do not write a request to an upstream that has said it leaves

Cause: the agent's scheduler asks whether the upstream leaves when it starts a run, but the request is written only once its connection is open, which takes long on a busy machine. A request that is written after the statement may be reset unread when the process closes, and its caller gets 502.

Change: the HTTP client of an agent asks again when the connection is open; the request is then not sent, and the caller is refused as not run or served elsewhere. The soak test prints the body of a lost response.

A pause is not asked again.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/PlainHttpClient.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/PlainHttpClient.kt
@@ -51,7 +51,7 @@
         val reason: String,
     ) : PlainEvent
 
-    /** The connection could not be opened; with [isRefused] no process listens at the address. */
+    /** No byte of the request was sent; with [isRefused] no process listens at the address. */
     data class NotSent(
         val reason: String,
         val isRefused: Boolean = false,
@@ -72,13 +72,15 @@
         HttpConnections(loop, { start.elapsedNow().inWholeMilliseconds }, connectTimeout, reuseConnections = false)
 
     /**
-     * Sends the request in [submit] with [headers]; the caller must close the returned exchange. A response for whose
-     * status [isRefusal] is true proves nothing if another byte follows it.
+     * Sends the request in [submit] with [headers] if [maySend] still returns true when the connection is open; the
+     * caller must close the returned exchange. A response for whose status [isRefusal] is true proves nothing if
+     * another byte follows it.
      */
     fun send(
         submit: Message.Submit,
         headers: List<Header> = submit.headers,
         isRefusal: (status: Int) -> Boolean = { false },
+        maySend: () -> Boolean = { true },
     ): PlainExchange {
         val fields = newHeaders()
         headers.forUpstream().forEach { fields.add(it.name, it.value) }
@@ -92,6 +94,7 @@
                 submit.requestId.value,
                 REQUEST_ID_HEADER,
                 mayOmitId = true,
+                maySend = maySend,
             )
         return PlainExchange(request, isRefusal)
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/UpstreamClient.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/UpstreamClient.kt
@@ -69,7 +69,8 @@
     ): RunResult =
         mapExceptions {
             val listener = statements.forRequest()
-            client.send(attempt.submit, attempt.streamHeaders(), REFUSALS::contains).use { exchange ->
+            val headers = attempt.streamHeaders()
+            client.send(attempt.submit, headers, REFUSALS::contains, statements::maySend).use { exchange ->
                 val first = exchange.receiveHead(listener)
                 when {
                     first is PlainEvent.NotSent -> RunResult.NotSent(first.reason)
@@ -88,7 +89,7 @@
     suspend fun forward(attempt: Attempt): RunResult =
         mapExceptions {
             val listener = statements.forRequest()
-            client.send(attempt.submit).use { exchange ->
+            client.send(attempt.submit, maySend = statements::maySend).use { exchange ->
                 var result = attempt.relay(exchange.receiveHead(listener))
                 while (result == null) {
                     val event = withTimeoutOrNull(streamIdleTimeout) { exchange.next() }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/UpstreamStatements.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/UpstreamStatements.kt
@@ -25,6 +25,13 @@
     private var process = 0
     private var hasHealthSaidLeaving = false
 
+    /** The latest process that has said that it is leaving. */
+    @Volatile
+    private var leavingProcess = -1
+
+    /** Whether a request that was started earlier may still be sent: a process that leaves may not read it any more. */
+    fun maySend(): Boolean = leavingProcess != process
+
     /** The listener for the response to a request that is about to be sent. */
     fun forRequest(): ResponseListener =
         process.let { sentTo ->
@@ -57,6 +64,7 @@
         headers: List<Header>,
     ) {
         val isLeaving = headers.any { it.name.equals(leavingHeader, ignoreCase = true) }
+        if (isLeaving && sentTo > leavingProcess) leavingProcess = sentTo
         val retryAfter =
             headers
                 .filter {
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/agent/AgentStatementsSoakTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/agent/AgentStatementsSoakTest.kt
@@ -9,6 +9,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.ktor.client.request.header
+import io.ktor.client.statement.bodyAsText
 import io.teaselspring.daemon.gateway.Journal
 import io.teaselspring.daemon.gateway.MoodyInstance
 import io.teaselspring.daemon.withSite
@@ -47,14 +48,15 @@
                                     var number = 0
                                     while (journal.start.elapsedNow() < end) {
                                         val id = "$caller-${number++}"
-                                        val status = order { header("X-Call", id) }.status.value
+                                        val response = order { header("X-Call", id) }
+                                        val status = response.status.value
                                         val runs = journal.runs[id]?.get() ?: 0
                                         answered.incrementAndGet()
                                         val isRefused = (status == 503 || status == 429) && runs == 0
                                         if (!isRefused &&
                                             (status != 200 || runs != 1)
                                         ) {
-                                            lost += "$id $status, $runs runs"
+                                            lost += "$id $status, $runs runs: ${response.bodyAsText()}"
                                         }
                                         if (isRefused) delay(10.milliseconds)
                                     }
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/agent/UnsentRequestTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/agent/UnsentRequestTest.kt
@@ -18,12 +18,20 @@
 import io.teaselspring.daemon.http.ExchangeListener
 import io.teaselspring.daemon.http.HttpConnections
 import io.teaselspring.daemon.http.OutgoingRequest
+import io.teaselspring.daemon.link.Link
+import io.teaselspring.daemon.link.LinkLimits
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeout
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.net.Socket
+import java.net.SocketTimeoutException
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
 import kotlin.time.Duration.Companion.seconds
 
 private class EndListener : ExchangeListener {
@@ -48,6 +56,34 @@
 
 private fun upstreamSocket() = ServerSocket(0, 1, InetAddress.getLoopbackAddress())
 
+/** Opens connections until the system takes no more of them. */
+private fun ServerSocket.fillQueue(): List<Socket> =
+    buildList {
+        while (true) {
+            val socket = Socket()
+            add(socket)
+            try {
+                socket.connect(localSocketAddress, CONNECT_LIMIT_MS)
+            } catch (_: SocketTimeoutException) {
+                break
+            }
+        }
+    }
+
+/** Accepts connections, counts those that bring a byte in [received], and resets them. */
+private fun ServerSocket.resetAll(received: AtomicInteger) {
+    while (true) {
+        val connection = runCatching { accept() }.getOrNull() ?: break
+        thread(isDaemon = true) {
+            if (runCatching { connection.getInputStream().read() }.getOrDefault(-1) >= 0) received.incrementAndGet()
+            connection.setSoLinger(true, 0)
+            connection.close()
+        }
+    }
+}
+
+private fun attempt() = Attempt(EntrySession(Link(entry(), LinkLimits())), submit())
+
 class UnsentRequestTest :
     FunSpec({
         // The accept queue of a closed listener is reset: the client finds its connection open, and cannot write to it.
@@ -81,6 +117,28 @@
             }
         }
 
+        // A full accept queue delays the opening of the connection until the statement has been read.
+        test("a request whose connection opens after the upstream has said that it is leaving is not sent") {
+            upstreamSocket().use { upstream ->
+                val url = "http://127.0.0.1:${upstream.localPort}"
+                UpstreamClient(url, 10.seconds, 10.seconds, UpstreamStatements()).use { client ->
+                    coroutineScope {
+                        val first = async(Dispatchers.IO) { client.forward(attempt()) }
+                        val connection = withContext(Dispatchers.IO) { upstream.accept() }
+                        val others = withContext(Dispatchers.IO) { upstream.fillQueue() }
+                        val second = async(Dispatchers.IO) { client.forward(attempt()) }
+                        connection.getOutputStream().write(LEAVING_RESPONSE.toByteArray())
+                        first.await() shouldBe RunResult.Complete
+                        val received = AtomicInteger()
+                        thread(isDaemon = true) { upstream.resetAll(received) }
+                        withTimeout(20.seconds) { second.await() }.shouldBeInstanceOf<RunResult.NotSent>()
+                        others.forEach { it.close() }
+                        received.get() shouldBe 0
+                    }
+                }
+            }
+        }
+
         test("a request that lies unread in a connection which the upstream resets may have run") {
             upstreamSocket().use { upstream ->
                 withContext(Dispatchers.IO) {
@@ -100,3 +158,6 @@
 
 /** The kernel delivers a reset over loopback at once; the margin is for a busy machine. */
 private const val RESET_ARRIVES_MS = 100L
+
+private const val CONNECT_LIMIT_MS = 200
+private const val LEAVING_RESPONSE = "HTTP/1.1 200 OK\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
