Heed "leaving" in responses to an entry's own calls

Cause: an instance may say that it leaves in a response to a status check or a read of its memory. The entry read only the figures there, and went on sending requests until another response said the same.

Change: such a statement counts like one in any other response, unless the response has another instance's id or status 421. ReadMemory hands over the response. A pause in these responses is not taken; nothing states one there.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
@@ -42,8 +42,12 @@
     val readyPath: String,
 )
 
-/** Reads the tokens that the model engine at an address, "IP:port", keeps of running requests and cached parts. */
-typealias ReadMemory = suspend (address: String) -> Either<PlatformError, Long>
+/**
+ * Reads the tokens that the model engine at an address, "IP:port", keeps of running requests and cached parts. Calls
+ * `onResponse` with the engine's response, whatever its status.
+ */
+typealias ReadMemory =
+    suspend (address: String, onResponse: (HttpCallResponse) -> Unit) -> Either<PlatformError, Long>
 
 /**
  * Interfaces to the platform. [config] holds all rows of the operators. [storeClock] estimates the store's clock from
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -58,7 +58,7 @@
             usage::recordRequest,
             usage::entryCount,
             Random.Default::nextInt,
-            InstanceMemory(scope, runtime.nowMs, platform.readMemory)::read,
+            InstanceMemory(scope, runtime.nowMs, platform.readMemory) { recordOwnCall(it, settings.headers) }::read,
             RequestQuarantine(
                 settings.instance,
                 platform.table,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceMemory.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceMemory.kt
@@ -14,12 +14,16 @@
 
 private val log = LoggerFactory.getLogger("io.teaselspring.daemon.gateway")
 
-/** Reads the memory of instances with [readMemory] in [scope]; after a failure not again before [retryInterval]. */
+/**
+ * Reads the memory of instances with [readMemory] in [scope] and passes each response to [onResponse]; after a failure
+ * not again before [retryInterval].
+ */
 internal class InstanceMemory(
     private val scope: CoroutineScope,
     private val nowMs: () -> Long,
     private val readMemory: ReadMemory?,
     private val retryInterval: Duration = 2.seconds,
+    private val onResponse: UpstreamInstance.(HttpCallResponse) -> Unit = {},
 ) {
     private val askedAtMs = WeakHashMap<UpstreamInstance, Long>()
 
@@ -30,7 +34,7 @@
         if (now - (askedAtMs[instance] ?: Long.MIN_VALUE / 2) < retryInterval.inWholeMilliseconds) return
         askedAtMs[instance] = now
         scope.launch {
-            readMemory(instance.registered.address).fold(
+            readMemory(instance.registered.address) { instance.onResponse(it) }.fold(
                 { log.info("event=memory_unknown instance={} {}", instance.registered.id, it.describe()) },
                 { instance.memoryTokens = it },
             )
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceStatements.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceStatements.kt
@@ -36,3 +36,17 @@
     if (instance.limit.perSecond != null) limitedAttempt(upstream)
     if (instance.limit.coldLeftMs(nowMs) > 0) coldAttempt(upstream)
 }
+
+/**
+ * Records that the instance is leaving if [response] to a call of the entry itself says so. One from another process at
+ * the address of the instance says nothing about it.
+ */
+internal fun UpstreamInstance.recordOwnCall(
+    response: HttpCallResponse,
+    names: HeaderNames,
+) {
+    val id = response.header(names.instanceId)
+    val isOther = id != null && id != registered.id.value
+    val isMisdirected = response.status == HttpResponseStatus.MISDIRECTED_REQUEST.code()
+    if (!isOther && !isMisdirected && response.header(names.leaving) != null) recordLeaving()
+}
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/WorkTimeChecks.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/WorkTimeChecks.kt
@@ -67,6 +67,7 @@
     private suspend fun check(instance: UpstreamInstance) {
         val path = statusPathOf(instance.registered.upstream) ?: return
         val response = readStatus(instance.registered.address, path)
+        response?.let { instance.recordOwnCall(it, names) }
         // Another process may answer at the address of an instance that has ended.
         val report =
             response
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
@@ -18,6 +18,7 @@
 import io.teaselspring.core.routing.RequestRoute
 import io.teaselspring.core.routing.RouteKind
 import io.teaselspring.core.routing.RoutingConfig
+import io.teaselspring.core.routing.UpstreamProperties
 import io.teaselspring.core.routing.WeightedUpstream
 import io.teaselspring.daemon.Running
 import io.teaselspring.daemon.control.FakePlatform
@@ -47,6 +48,9 @@
 internal const val STREAM = "/stream/"
 internal const val RESUMED = "/resumed/"
 
+/** Where instances state their status; only those that state their work time are asked. */
+internal const val STATUS = "/status"
+
 /** The entry with [upstreams] as its instances. [timeoutMs] is the timeout of all routes. */
 class GatewaySite(
     val upstreams: List<ScriptedUpstream>,
@@ -123,6 +127,7 @@
             CallerOrganisation(OrganisationId("clinic"), setOf(URGENT_KEY), 0),
         ),
         limits,
+        listOf(UpstreamProperties(UPSTREAM, statusPath = STATUS)),
     )
 
     private fun route(
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/InstanceMemoryTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/InstanceMemoryTest.kt
@@ -44,7 +44,7 @@
                     listOf(PlatformError.Unavailable("engine-report", "engine-1", "silent").left(), 90_000L.right()),
                 )
             val scope = CoroutineScope(Dispatchers.Unconfined)
-            val memory = InstanceMemory(scope, { nowMs }, readMemory = { answers.removeFirst() })
+            val memory = InstanceMemory(scope, { nowMs }, readMemory = { _, _ -> answers.removeFirst() })
 
             memory.read(instance)
             nowMs = 1_999
