Spread Retry-After over callers when all upstreams are in a pause

Cause: on the path through agents all callers were told the end of the first pause, and returned together.

Change: the end of the first pause plus up to one second. Callers of this path are told whole seconds, rounded up, so the 300 ms of the other path would leave most of them in the same second. There is no cap by the caller's time limit, as before.

Result: a new case of UpstreamChooserTest.

--- a/core/src/main/kotlin/io/teaselspring/core/choice/UpstreamChooser.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/choice/UpstreamChooser.kt
@@ -67,6 +67,20 @@
         .minOfOrNull { it.pausedUntilMs - nowMs }
         ?.takeIf { it > 0 }
 
+/**
+ * When to come back in ms if the upstreams of all agents that serve [request] want a pause, else null: spread over the
+ * second after the first pause ends. Callers are told whole seconds, rounded up, so that a shorter spread would let
+ * most of them return in the same second. [random] is as in [chooseAgent].
+ */
+public fun pausedRetryAfterMs(
+    agents: Collection<AgentView>,
+    request: ChoiceRequest,
+    nowMs: Long,
+    random: (Int) -> Int,
+): Long? = pausedForMs(agents, request, nowMs)?.let { it + random(PAUSE_SPREAD_MS) }
+
+private const val PAUSE_SPREAD_MS = 1_000
+
 private fun AgentView.serves(request: ChoiceRequest) =
     upstream == request.upstream && !draining && (request.model == null || request.model in models)
 
--- a/core/src/main/kotlin/io/teaselspring/core/dispatch/Dispatch.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/dispatch/Dispatch.kt
@@ -23,7 +23,7 @@
  */
 public typealias ChooseAgent = (tried: Set<InstanceId>, displace: Boolean, nowMs: Long) -> InstanceId?
 
-/** Time until the first pause ends, or null unless the upstreams of all agents for the request want one. */
+/** When to come back after a pause, or null unless the upstreams of all agents for the request want one. */
 public typealias PausedFor = (nowMs: Long) -> Long?
 
 /** Takes one retry from the retry budget; returns false when the budget is exhausted. */
--- a/core/src/test/kotlin/io/teaselspring/core/choice/UpstreamChooserTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/choice/UpstreamChooserTest.kt
@@ -68,6 +68,16 @@
             chooseAgent(paused, request, localDataCentre, emptySet(), 11_000) { 0 } shouldBe agent(1).instance
         }
 
+        // Guards against callers that all return in the second in which the first pause ends, or before it.
+        test("callers come back within the second after the first pause to end") {
+            val paused = listOf(agent(0).copy(pausedUntilMs = 12_500), agent(1).copy(pausedUntilMs = 11_500))
+            val random = Random(1)
+            val waitsMs = List(1_000) { checkNotNull(pausedRetryAfterMs(paused, request, 10_000, random::nextInt)) }
+            waitsMs.filter { it !in 1_500L..2_499L } shouldBe emptyList()
+            waitsMs.count { it > 2_000 } shouldBeInRange 400..600
+            pausedRetryAfterMs(paused + agent(2), request, 10_000, random::nextInt) shouldBe null
+        }
+
         // Guards against a slow engine that keeps receiving requests because its reported load is normal, and against
         // one that has recovered but receives no requests.
         test("a straggler is ejected, probed once, and used again if the probe is fast") {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/entry/RequestRun.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/RequestRun.kt
@@ -7,7 +7,7 @@
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.choice.ChoiceRequest
 import io.teaselspring.core.choice.chooseAgent
-import io.teaselspring.core.choice.pausedForMs
+import io.teaselspring.core.choice.pausedRetryAfterMs
 import io.teaselspring.core.dispatch.Dispatch
 import io.teaselspring.core.dispatch.DispatchAction
 import io.teaselspring.core.dispatch.DispatchEvent
@@ -78,7 +78,7 @@
         Dispatch(
             DispatchRequest(request.serviceClass.tier, request.idempotent, resumable = request.isChat, deadlineMs),
             choose = ::choose,
-            pausedForMs = { now -> pausedForMs(context.pool.views(), choiceRequest(displace = false), now) },
+            pausedForMs = { pausedRetryAfterMs(context.pool.views(), choiceRequest(false), it, context.random) },
             spendRetry = { context.retries.trySpend(request.organisation) },
         )
 
