Admit requests at an agent by bytes

Cause: an agent bounded its queue by requests only: 256 of them with bodies of up to 3 MB each take more than its heap.

Change: an offer is queued only if its body and one read of its response fit into the byte budget of the process, the one that entries have, with its equal parts for organisations. Otherwise it is refused as not run (QUEUE_FULL), counted, and logged. Every end of an attempt gives the bytes back. Cancellations, acknowledgements and withdrawals never ask the budget.

What links keep before an offer is read, or for an entry that reads slowly, keeps its own bounds.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/Agent.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/Agent.kt
@@ -9,6 +9,7 @@
 import io.teaselspring.core.admission.SchedulerPolicy
 import io.teaselspring.core.registry.Availability
 import io.teaselspring.daemon.MonotonicMs
+import io.teaselspring.daemon.gateway.ByteBudget
 import io.teaselspring.daemon.link.Link
 import io.teaselspring.daemon.link.LinkContext
 import io.teaselspring.daemon.link.LinkListener
@@ -39,7 +40,10 @@
 
 private val log = LoggerFactory.getLogger("io.teaselspring.daemon.agent")
 
-/** The dependencies and timeouts of an agent that are not part of its settings. */
+/**
+ * The dependencies and timeouts of an agent that are not part of its settings. [memory] bounds the bytes of the
+ * requests that it has accepted; it is used only by the agent's event loop.
+ */
 class AgentDependencies(
     val usage: UsageRecorder = NoUsage,
     val registry: PrometheusRegistry = PrometheusRegistry(),
@@ -49,6 +53,7 @@
     val healthCheckInterval: Duration = 1.seconds,
     val healthCheckTimeout: Duration = 1.seconds,
     val connectTimeout: Duration = 1.seconds,
+    val memory: ByteBudget = ByteBudget.ofProcess(),
 ) {
     internal val metrics = AgentMetrics(registry)
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AgentMetrics.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AgentMetrics.kt
@@ -23,6 +23,12 @@
             .help("Offers and queued requests answered with not run, by reason")
             .labelNames("reason")
             .register(registry)
+    private val memoryRefusals =
+        Counter
+            .builder()
+            .name("teaselspring_agent_memory_refusals")
+            .help("Offers answered with not run because their bodies did not fit into memory")
+            .register(registry)
     private val runs =
         Counter
             .builder()
@@ -67,6 +73,9 @@
         if (message is Message.NotRun) refusals.labelValues(message.reason.name.lowercase()).inc()
     }
 
+    /** Counts an offer whose body does not fit into memory. */
+    fun recordMemoryRefusal() = memoryRefusals.inc()
+
     /** Sets the request gauges to the reported [load]. */
     fun recordLoad(load: SchedulerLoad) {
         requests.labelValues("running").set(load.running.toDouble())
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/Attempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/Attempt.kt
@@ -6,6 +6,7 @@
 
 import io.teaselspring.core.admission.AttemptId
 import io.teaselspring.core.admission.StopCause
+import io.teaselspring.daemon.gateway.ByteBudget
 import io.teaselspring.daemon.link.Link
 import io.teaselspring.protocol.CHUNK_WINDOW
 import io.teaselspring.protocol.Message
@@ -22,12 +23,13 @@
 }
 
 /**
- * One offered attempt. The event loop owns [job], [stopCause] and [starts], the number of times that the attempt was
- * started on the upstream; the active run owns the offsets and token counts.
+ * One offered attempt. The event loop owns [memory], [job], [stopCause] and [starts], the number of times that the
+ * attempt was started on the upstream; the active run owns the offsets and token counts.
  */
 internal class Attempt(
     val session: EntrySession,
     val submit: Message.Submit,
+    private val memory: ByteBudget.Share? = null,
 ) {
     val id = AttemptId(submit.requestId, submit.attempt)
 
@@ -53,6 +55,12 @@
     /** A plain request that is not idempotent is not cancelled once it has started, even if its entry's link closes. */
     val mustRunToCompletion: Boolean get() = submit.kind == RequestKind.HTTP && !submit.idempotent
 
+    /** Takes the memory for the request's body and its response; returns false if it is not there. */
+    fun reserveMemory(): Boolean = memory?.grow(submit.body.size + RESPONSE_BYTES) ?: true
+
+    /** Gives the memory back; may be called more than once. */
+    fun releaseMemory() = memory?.release()
+
     fun acknowledge(nextOffset: Long) {
         if (nextOffset > acknowledgedOffset.value) acknowledgedOffset.value = nextOffset
     }
@@ -69,6 +77,11 @@
         nextOffset = offset + 1
         return session.link.send(Message.Chunk(submit.requestId, submit.attempt, offset, bytes))
     }
+
+    private companion object {
+        /** What a response keeps: reading stops at each chunk until the link has taken it, and a read is this long. */
+        const val RESPONSE_BYTES = 64L * 1024
+    }
 }
 
 /** The result of a run on the upstream. The names of the subclasses are values of a metric label. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AttemptTable.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/AttemptTable.kt
@@ -1,6 +1,7 @@
 /*
  * The attempts of an agent from offer to final message, with at-most-once execution and usage metering. The final
  * message of every attempt is chosen here, so that NotRun is sent from one place and only if the request did not run.
+ * Offers are admitted by bytes; messages that take no memory, such as cancellations, are always handled.
  */
 package io.teaselspring.daemon.agent
 
@@ -17,6 +18,9 @@
 import io.teaselspring.protocol.RequestKind
 import io.teaselspring.protocol.UsageRecord
 import kotlinx.coroutines.Job
+import org.slf4j.LoggerFactory
+
+private val log = LoggerFactory.getLogger("io.teaselspring.daemon.agent")
 
 /** Bounds the memory for withdrawn keys; the oldest are evicted first. */
 private const val MAX_WITHDRAWN_KEYS = 100_000
@@ -50,7 +54,11 @@
     val isEmpty: Boolean get() = attempts.isEmpty()
 
     fun summary(): Map<String, Long> =
-        mapOf("attempts" to attempts.size.toLong(), "withdrawn_keys" to withdrawnKeys.size.toLong())
+        mapOf(
+            "attempts" to attempts.size.toLong(),
+            "kept_bytes" to dependencies.memory.usedBytes,
+            "withdrawn_keys" to withdrawnKeys.size.toLong(),
+        )
 
     fun drain() {
         draining = true
@@ -91,7 +99,7 @@
         submit: Message.Submit,
     ) {
         val now = nowMs()
-        val attempt = Attempt(session, submit)
+        val attempt = Attempt(session, submit, dependencies.memory.Share(submit.organisation))
         val refusal = refusalReason(submit)
         val recordedState = runRecord.stateOf(submit, now)
         when {
@@ -100,6 +108,7 @@
             recordedState == RecordedState.ABANDONED -> sendToEntry(session, submit.toNotRun(NotRunReason.DUPLICATE))
             recordedState == RecordedState.FULL -> sendToEntry(session, submit.toNotRun(NotRunReason.QUEUE_FULL))
             refusal != null -> sendToEntry(session, submit.toNotRun(refusal))
+            !attempt.reserveMemory() -> refuseForMemory(attempt)
             else -> {
                 attempts[attempt.id] = attempt
                 step(SchedulerEvent.Offered(submit.toOfferedRequest(now)))
@@ -107,6 +116,20 @@
         }
     }
 
+    private fun refuseForMemory(attempt: Attempt) {
+        val submit = attempt.submit
+        dependencies.metrics.recordMemoryRefusal()
+        log.info(
+            "event=request_refused request={} reason=\"no memory for the body\" body_bytes={} kept_bytes={} " +
+                "organisation={}",
+            submit.requestId,
+            submit.body.size,
+            dependencies.memory.usedBytes,
+            submit.organisation?.value,
+        )
+        sendToEntry(attempt.session, submit.toNotRun(NotRunReason.QUEUE_FULL))
+    }
+
     private fun refusalReason(submit: Message.Submit): NotRunReason? {
         val isServed = submit.kind != RequestKind.CHAT || submit.model in settings.models
         return when {
@@ -242,6 +265,7 @@
 
     private fun remove(attempt: Attempt) {
         attempts.remove(attempt.id)
+        attempt.releaseMemory()
     }
 
     private fun recordUsage(attempt: Attempt): UsageRecord {
