Order waiting prompts by the engine time of their organisations

Cause: within a priority the queue considered requests by arrival, so an organisation that sends more, or retries at once, takes the capacity of the others.

Change: OrganisationOrder keeps virtual counters per priority (those of core.fairness, which agents use too), charged with uncached prompt tokens and ten times the output tokens over the speed of the engine. Expected output is charged at the start and corrected at the end. TokenCounters now also accepts charges for idle organisations. The queue uses the order only where its caller asks for it; otherwise requests are considered as before.

--- a/core/src/main/kotlin/io/teaselspring/core/fairness/TokenCounters.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/fairness/TokenCounters.kt
@@ -81,6 +81,18 @@
         return counter
     }
 
+    /**
+     * Corrects the tokens charged to [id] by [tokens], divided by its weight. A correction below 0 is dropped if [id]
+     * has no counter: it would start at the lowest active one anyway.
+     */
+    fun correct(
+        id: OrganisationId?,
+        tokens: Double,
+    ) {
+        val counter = byId[id] ?: if (tokens > 0) activate(id, weight = 1) else return
+        update(counter, tokens = tokens)
+    }
+
     /** Adds [queued] and [running] to the requests of [counter], and charges it [tokens] divided by its weight. */
     fun update(
         counter: TokenCounter,
@@ -88,7 +100,7 @@
         running: Int = 0,
         tokens: Double = 0.0,
     ) {
-        active.remove(counter)
+        if (counter.active) active.remove(counter) else idle.remove(counter)
         if (ready.remove(counter)) waitingWeight -= counter.weight
         counter.queued += queued
         counter.running += running
--- a/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
@@ -10,6 +10,7 @@
 
 import io.teaselspring.core.DataCentre
 import io.teaselspring.core.InstanceId
+import io.teaselspring.core.OrganisationId
 
 /** A part of a prompt, identified by [id]. */
 public data class PromptPart(
@@ -21,7 +22,7 @@
  * A request in the queue. The last of [parts] is the request's own, the others are shared with other requests. [group]
  * decides which instances it may be sent to. If it starts at [lateAfterMs] or later, it misses its latency target. If
  * no instance has room for it at [refuseAfterMs] or later, it is refused. Unless null, [allowedDataCentres] are the
- * only ones that it may be sent to.
+ * only ones that it may be sent to. [organisation] is charged for it, null for callers without one.
  */
 public data class QueuedRequest(
     val id: Long,
@@ -32,6 +33,8 @@
     val lateAfterMs: Long,
     val refuseAfterMs: Long,
     val allowedDataCentres: Set<DataCentre>? = null,
+    val organisation: OrganisationId? = null,
+    val output: StatedOutput = StatedOutput.UNKNOWN,
 ) {
     /** Tokens of its own part, and of its whole prompt. */
     internal val size = PromptSize(parts.lastOrNull()?.tokens ?: 0, parts.sumOf { it.tokens })
@@ -82,10 +85,11 @@
 public sealed interface QueueDecision {
     public val request: QueuedRequest
 
-    /** [request] is to be sent to [instance] now. */
+    /** [request] is to be sent to [instance] now; [charge] is to be settled when it has ended. */
     public data class Start(
         override val request: QueuedRequest,
         val instance: InstanceId,
+        val charge: EngineCharge,
     ) : QueueDecision
 
     /** [request] has waited too long and is to be refused. */
@@ -133,6 +137,10 @@
     private val meanSizes = HashMap<LatencyGroup, PromptSize>()
 
     private val workingSets = HashMap<LatencyGroup, SharedWorkingSet>()
+    private val organisations = OrganisationOrder()
+
+    /** The organisations with waiting requests. */
+    public val shares: List<OrganisationShare> get() = organisations.shares
 
     /** Number of waiting requests. */
     public val size: Int get() = waiting.size
@@ -142,6 +150,7 @@
 
     public fun add(request: QueuedRequest) {
         waiting += request
+        organisations.added(request)
         meanSizes.merge(request.group, request.size) { mean, size -> mean.movedTowards(size) }
         request.sharedPart?.let {
             workingSets.getOrPut(request.group) { SharedWorkingSet() }.record(it, request.arrivedMs)
@@ -150,18 +159,28 @@
 
     /** Removes the request [id], whose caller has disconnected. */
     public fun remove(id: Long) {
-        waiting.removeAll { it.id == id }
+        val index = waiting.indexOfFirst { it.id == id }
+        if (index >= 0) organisations.removed(waiting.removeAt(index))
     }
 
+    /** Corrects the [charge] of a request that has ended with [outputTokens], 0 if it has not run. */
+    public fun settle(
+        charge: EngineCharge,
+        outputTokens: Long,
+    ): Unit = organisations.settle(charge, outputTokens)
+
     /**
      * Removes and returns the requests to refuse at [nowMs], and calls [onStart] for each request to send to one of
      * [instances], which are partitioned among [groups] latency groups. [onStart] has to update the load and the
-     * pending prefill tokens of the instance, because it is called before the next request is considered.
+     * pending prefill tokens of the instance, because it is called before the next request is considered. With
+     * [fairShares], organisations get equal shares of engine time within a priority; otherwise requests are considered
+     * by arrival.
      */
     public fun dispatch(
         nowMs: Long,
         instances: List<InstanceView>,
         groups: Int,
+        fairShares: Boolean = false,
         onStart: (QueueDecision.Start) -> Unit,
     ): List<QueueDecision.Refuse> {
         if (pendingAverages.size > instances.size) pendingAverages.retain(instances.mapTo(HashSet()) { it.id })
@@ -182,19 +201,37 @@
         val refused = mutableListOf<QueueDecision.Refuse>()
         val remaining = waiting.toList()
         waiting.clear()
-        for (request in remaining) {
+
+        fun offer(request: QueuedRequest) {
             val instance =
                 instanceFor(request, partition.poolOf(request.group, request.allowedDataCentres), nowMs)
                     ?: partition.overflowFor(request)
             when {
-                instance != null -> onStart(QueueDecision.Start(request, instance.id))
-                nowMs >= request.refuseAfterMs -> refused += QueueDecision.Refuse(request)
+                instance != null -> onStart(start(request, instance))
+                nowMs >= request.refuseAfterMs -> {
+                    organisations.removed(request)
+                    refused += QueueDecision.Refuse(request)
+                }
                 else -> waiting += request
             }
         }
+        if (fairShares) {
+            organisations.forEach(remaining, { nowMs >= it.lateAfterMs }, ::offer)
+        } else {
+            remaining.forEach(::offer)
+        }
         return refused
     }
 
+    private fun start(
+        request: QueuedRequest,
+        instance: InstanceView,
+    ): QueueDecision.Start {
+        val uncachedTokens = instance.uncachedTokens(request.parts, isPreferred = true)
+        val charge = organisations.started(request, uncachedTokens, instance.speed)
+        return QueueDecision.Start(request, instance.id, charge)
+    }
+
     private fun instanceFor(
         request: QueuedRequest,
         pool: InstancePool,
