Queue prompts fairly and refuse those that cannot end in time

Cause: the order among organisations, the estimate of the least time and the slots of returning callers were used by no entry.

A stream that cannot end before its deadline is refused at once as not run, and a request that has waited too long gets its Retry-After from the drain rate. Requests state their maximum and estimated output in two headers. Metric of queue decisions by organisation and priority, log lines call_cannot_end and call_return_planned, fair_queues on the state page. Elsewhere requests are considered by arrival as before.

Result: QueuedPromptTest shows the refusal with the setting and none without.

--- a/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/RequestQueue.kt
@@ -148,6 +148,9 @@
     /** Number of waiting requests that are as urgent as [priority] or more so. */
     public fun sizeFor(priority: Int): Int = waiting.count { it.priority <= priority }
 
+    /** Number of waiting requests of [priority]. */
+    public fun sizeAt(priority: Int): Int = waiting.count { it.priority == priority }
+
     public fun add(request: QueuedRequest) {
         waiting += request
         organisations.added(request)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/AuthorisedRequest.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/AuthorisedRequest.kt
@@ -9,6 +9,7 @@
 import io.teaselspring.core.placement.LatencyGroup
 import io.teaselspring.core.placement.PromptPart
 import io.teaselspring.core.placement.QueuedRequest
+import io.teaselspring.core.placement.StatedOutput
 import io.teaselspring.core.placement.latencyGroupOf
 import io.teaselspring.core.routing.RoutingConfig
 import io.teaselspring.core.routing.RoutingDecision
@@ -30,12 +31,13 @@
     val organisation get() = decision.organisation?.id
     val priority get() = decision.priority
 
-    /** The request as an element [id] of the queue; its timeout expires at [deadlineMs]. */
+    /** The request as an element [id] of the queue. It cannot end in time if it starts after [lastStartMs]. */
     fun toQueuedRequest(
         id: Long,
         prompt: List<PromptPart>,
         arrivedMs: Long,
-        deadlineMs: Long,
+        lastStartMs: Long,
+        output: StatedOutput,
     ) = QueuedRequest(
         id,
         prompt,
@@ -43,8 +45,10 @@
         priority,
         arrivedMs,
         lateAfterMs = arrivedMs + route.targetLatencyMs * LATE_AFTER_PCT / PERCENT,
-        refuseAfterMs = refuseAfterMs(arrivedMs, deadlineMs),
+        refuseAfterMs = refuseAfterMs(arrivedMs, lastStartMs),
         allowedDataCentres = allowedDataCentres,
+        organisation = organisation,
+        output = output,
     )
 
     /** The request as it waits since [sinceMs] for a permit at an instance that [choose] returns. */
@@ -58,8 +62,8 @@
 
     private fun refuseAfterMs(
         sinceMs: Long,
-        deadlineMs: Long,
-    ) = minOf(sinceMs + route.targetLatencyMs * REFUSE_AFTER_PCT / PERCENT, deadlineMs)
+        lastStartMs: Long,
+    ) = minOf(sinceMs + route.targetLatencyMs * REFUSE_AFTER_PCT / PERCENT, lastStartMs)
 
     private companion object {
         /** After this share of its latency target a waiting request yields to requests that can still meet theirs. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
@@ -20,7 +20,8 @@
  * budget of an entry is [retrySharePct] percent of its successful requests in a window of [retryWindowMs], and at least
  * its share of [retryMinimum], which applies to all entries together. [assumedEntries] is the number of entries until
  * the real number is known. [regions] are those of the data centres, as far as known. [leaving] says what it costs to
- * send requests to another data centre.
+ * send requests to another data centre. With [fairShares] organisations get equal shares of all upstreams, as they do
+ * of timed ones, and requests with a prompt that cannot end in time are refused.
  */
 data class GatewaySettings(
     val instance: InstanceId,
@@ -35,6 +36,7 @@
     val assumedEntries: Int = 10,
     val leaving: LeavingPolicy = LeavingPolicy(),
     val regions: Map<DataCentre, Region> = emptyMap(),
+    val fairShares: Boolean = false,
 )
 
 /** Shared state of one entry. */
@@ -55,8 +57,9 @@
     val memory: ByteBudget = runtime.memory
     val limits: RequestLimits get() = instances.limits
     val leaving = LeavingCosts(settings.dataCentre, entryCount, instances::isTimed, settings.leaving)
+    val fairness = FairQueueing(settings.fairShares, instances::isTimed)
     val queues =
-        StreamQueues(loop, nowMs, instances, entryCount, readMemory) {
+        StreamQueues(loop, nowMs, instances, entryCount, readMemory, fairness) {
             config.current?.longestTargetMsOf(it) ?: 0
         }
     val permits = PermitQueue(loop, nowMs)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
@@ -70,6 +70,13 @@
             .help("Requests refused early because all instances were cold and could take no more, by upstream")
             .labelNames("upstream")
             .register(registry)
+    private val queueDecisions =
+        Counter
+            .builder()
+            .name("teaselspring_queue_decisions_total")
+            .help("Requests with a prompt sent to an instance or refused, by upstream, organisation and priority")
+            .labelNames("upstream", "organisation", "priority", "outcome")
+            .register(registry)
     private val storeRestores =
         Counter
             .builder()
@@ -184,6 +191,14 @@
 
     fun coldRefused(upstream: String) = coldRefusals.labelValues(upstream).inc()
 
+    /** [outcome] is "dispatched", "refused_early" or "refused_waited". */
+    fun queueDecided(
+        upstream: String,
+        organisation: String,
+        priority: Int,
+        outcome: String,
+    ) = queueDecisions.labelValues(upstream, organisation, priority.toString(), outcome).inc()
+
     fun storeRestored() = storeRestores.inc()
 
     fun responded(
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -252,6 +252,7 @@
                         .forEach { add(it.value) }
                 }
                 putJsonArray("quarantined_parts") { gateway.quarantine.quarantined.forEach { add("$it") } }
+                putFairQueues(gateway)
                 putJsonArray("instances") {
                     gateway.instances.all().forEach { instance ->
                         add(
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HeaderNames.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HeaderNames.kt
@@ -6,8 +6,9 @@
 import io.teaselspring.daemon.http.HOP_BY_HOP
 
 /**
- * Header names. Headers in [systemOnly] are set by the system only and never forwarded from a caller; those in
- * [perConnection] are hop-by-hop. All comparisons ignore case.
+ * Header names. [tokenCount] states the prompt tokens and the most output tokens of a request, "P,O", and [lengthHint]
+ * the caller's estimate of its output tokens. Headers in [systemOnly] are set by the system only and never forwarded
+ * from a caller; those in [perConnection] are hop-by-hop. All comparisons ignore case.
  */
 data class HeaderNames(
     val requestId: String = "X-Request-Id",
@@ -17,6 +18,8 @@
     val expectInstance: String = "X-Expect-Instance",
     val priority: String = "X-Priority",
     val promptParts: String = "X-Prompt-Parts",
+    val tokenCount: String = "X-Token-Count",
+    val lengthHint: String = "X-Length-Hint",
     val signature: String = "X-Signature",
     val notRun: String = "X-Not-Run",
     val load: String = "X-Load",
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -46,7 +46,7 @@
             gateway.metrics.responded(authorised.route.name, (gateway.nowMs() - arrivedMs).milliseconds)
         }
     private var isFinished = false
-    private var queueId: Long? = null
+    private var queued: QueuedPrompt? = null
 
     fun start() {
         val config = gateway.config.current
@@ -97,29 +97,28 @@
         }
         if (refuseQuarantined()) return
         gateway.limits.recordDemand(upstream)
-        gateway.earlyRefusal(authorised, arrivedMs, deadlineMs)?.let { return refuse(it.reason, it.retryAfter) }
+        val output = request.headers.statedOutput(names)
+        val queued = QueuedPrompt(gateway, requestId, authorised, prompt, output, deadlineMs).also { queued = it }
+        val refusal = gateway.earlyRefusal(authorised, arrivedMs, deadlineMs) ?: queued.earlyRefusal()
+        refusal?.let { return refuse(it.reason, it.retryAfter) }
         timeout = gateway.loop.schedule({ onTimeout() }, timeoutMs, TimeUnit.MILLISECONDS)
-        if (prompt.isEmpty()) tryNextInstance() else enqueue()
-    }
-
-    private fun enqueue() {
-        val id = gateway.queues.nextId()
-        queueId = id
-        gateway.queues.enqueue(authorised.upstream, authorised.toQueuedRequest(id, prompt, arrivedMs, deadlineMs), this)
+        if (prompt.isEmpty()) tryNextInstance() else queued.enqueue(arrivedMs, this)
     }
 
     override fun onDispatched(
         instance: UpstreamInstance,
         uncachedTokens: Long,
     ) {
-        queueId = null
         startAttempt(instance, uncachedTokens)
     }
 
     override fun onQueueTimeout() {
-        queueId = null
         val delayMs = gateway.permitDelayMs(authorised)
-        if (delayMs == null) refuse("waited too long") else refuse("waited too long for a permit", secondsText(delayMs))
+        if (delayMs == null) {
+            refuse("waited too long", queued?.refusedInQueue())
+        } else {
+            refuse("waited too long for a permit", secondsText(delayMs))
+        }
     }
 
     /**
@@ -158,7 +157,10 @@
     ) {
         if (refuseQuarantined()) return
         val waitedMs = gateway.nowMs() - arrivedMs
-        if (attempts.tried.isEmpty()) gateway.metrics.dispatched(authorised.route.name, waitedMs.milliseconds)
+        if (attempts.tried.isEmpty()) {
+            gateway.metrics.dispatched(authorised.route.name, waitedMs.milliseconds)
+            queued?.dispatched()
+        }
         gateway.logDispatch(requestId, authorised, instance, DispatchedPrompt(sharedParts, uncachedTokens), waitedMs)
         attempts.begin(instance.registered.id)
         attempt =
@@ -200,7 +202,7 @@
             return
         }
         log("call_retried", "not run: $reason")
-        if (prompt.isEmpty() || stream.hasBegun) tryNextInstance() else enqueue()
+        if (prompt.isEmpty() || stream.hasBegun) tryNextInstance() else queued?.enqueue(arrivedMs, this)
     }
 
     /** The attempt may have run and did not succeed; [failure] is the instance's error response, if it sent one. */
@@ -250,7 +252,7 @@
     fun completeStream(framing: BodyFraming): Boolean {
         if (!stream.isCompleteAtEnd(framing)) return false
         gateway.retryBudget(authorised.upstream).succeeded(authorised.organisation, gateway.nowMs())
-        finish("answered", "200")
+        finish(ANSWERED, "200")
         stream.end()
         return true
     }
@@ -259,7 +261,7 @@
     fun attemptSucceeded(response: BufferedResponse) {
         gateway.quarantine.recordResponse(sharedParts)
         gateway.retryBudget(authorised.upstream).succeeded(authorised.organisation, gateway.nowMs())
-        recordResponse("answered", response.status.code())
+        recordResponse(ANSWERED, response.status.code())
         response.sendTo(writer)
     }
 
@@ -341,7 +343,7 @@
         reason: String,
     ) {
         isFinished = true
-        queueId?.let { gateway.queues.remove(authorised.upstream, it) }
+        queued?.ended(stream, outcome)
         gateway.permits.remove(this)
         timeout?.cancel(false)
         gateway.metrics.request(if (::authorised.isInitialized) authorised.route.name else "none", outcome)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
@@ -8,9 +8,12 @@
 import io.teaselspring.core.DataCentre
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.UpstreamName
+import io.teaselspring.core.placement.EngineCharge
 import io.teaselspring.core.placement.InstanceView
 import io.teaselspring.core.placement.KnownLoad
+import io.teaselspring.core.placement.OrganisationShare
 import io.teaselspring.core.placement.PromptPart
+import io.teaselspring.core.placement.QueueDecision
 import io.teaselspring.core.placement.QueuedRequest
 import io.teaselspring.core.placement.RequestQueue
 import java.util.concurrent.TimeUnit
@@ -34,6 +37,7 @@
     private val instances: UpstreamInstances,
     private val entryCount: () -> Int,
     private val readMemory: (UpstreamInstance) -> Unit,
+    private val fairness: FairQueueing,
     private val longestTargetMs: (UpstreamName) -> Long,
 ) {
     private val queues = HashMap<UpstreamName, UpstreamQueue>()
@@ -55,12 +59,19 @@
         upstreamQueue.dispatch()
     }
 
-    fun remove(
+    /**
+     * The request [id], which waits or was dispatched, has ended with [outputTokens]: 0 if it has not run, null if they
+     * are unknown.
+     */
+    fun ended(
         upstream: UpstreamName,
         id: Long,
+        outputTokens: Long?,
     ) {
         val upstreamQueue = queues[upstream] ?: return
         if (upstreamQueue.requests.remove(id) != null) upstreamQueue.queue.remove(id)
+        val charge = upstreamQueue.charges.remove(id)
+        if (charge != null && outputTokens != null) upstreamQueue.queue.settle(charge, outputTokens)
     }
 
     /** Dispatches waiting requests of [upstream] after an instance has finished or dropped a prefill. */
@@ -74,6 +85,15 @@
         priority: Int,
     ): Int = queues[upstream]?.queue?.sizeFor(priority) ?: 0
 
+    /** Number of waiting requests for [upstream] of [priority]. */
+    fun sizeAt(
+        upstream: UpstreamName,
+        priority: Int,
+    ): Int = queues[upstream]?.queue?.sizeAt(priority) ?: 0
+
+    /** The organisations with requests that wait for [upstream]. */
+    fun sharesOf(upstream: UpstreamName): List<OrganisationShare> = queues[upstream]?.queue?.shares.orEmpty()
+
     /** Number of waiting requests. */
     val size: Int get() = queues.values.sumOf { it.queue.size }
 
@@ -82,6 +102,7 @@
     ) {
         val queue = RequestQueue(entries = entryCount)
         val requests = HashMap<Long, WaitingRequest>()
+        val charges = HashMap<Long, EngineCharge>()
         var groupCount = 1
         private var isScheduled = false
         private var isDispatching = false
@@ -92,18 +113,33 @@
             isDispatching = true
             val now = nowMs()
             val views = views(now)
+            val pace = fairness.paceOf(upstream)
             val expired =
-                queue.dispatch(now, views.values.toList(), groupCount) { start ->
+                queue.dispatch(now, views.values.toList(), groupCount, fairShares = pace != null) { start ->
                     val view = views.getValue(start.instance)
                     val uncached = view.recordPrompt(start.request.parts)
                     if (view.memoryTokens == null) readMemory(view.instance)
-                    requests.remove(start.request.id)?.onDispatched(view.instance, uncached)
+                    pace?.returns?.recordStart(start.request.priority, now)
+                    dispatched(start)?.onDispatched(view.instance, uncached)
                 }
             expired.forEach { requests.remove(it.request.id)?.onQueueTimeout() }
             isDispatching = false
             if (queue.size > 0) schedule()
         }
 
+        /** The request of [start], or null if it ended during this dispatch. */
+        private fun dispatched(start: QueueDecision.Start): WaitingRequest? {
+            val request = requests.remove(start.request.id)
+            if (request ==
+                null
+            ) {
+                queue.settle(start.charge, outputTokens = 0)
+            } else {
+                charges[start.request.id] = start.charge
+            }
+            return request
+        }
+
         private fun views(nowMs: Long): Map<InstanceId, UpstreamInstanceView> {
             val available = instances.available(upstream)
             val stallMs = if (instances.isTimed(upstream)) timedStallMs(longestTargetMs(upstream)) else STREAM_STALL_MS
