--- a/core/src/main/kotlin/io/teaselspring/core/placement/GroupShares.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/placement/GroupShares.kt
@@ -9,8 +9,7 @@
     val fractions: List<Double>,
 ) {
     /** The share of group [index], which is not the last one; that of [INITIAL] if none is stated for it. */
-    public fun of(index: Int): Double =
-        fractions.getOrNull(index) ?: if (index == 0) PARTITION_FRACTIONS.first() else INITIAL_FRACTION
+    public fun of(index: Int): Double = fractions.getOrNull(index) ?: PARTITION_FRACTIONS.first()
 
     /** The positions at which the groups but the last of [groups] end, in the partition of [instances] instances. */
     internal fun ends(
@@ -27,15 +26,13 @@
     }
 
     public companion object {
-        private const val INITIAL_FRACTION = 0.125
-
         /** The shares where they do not follow the demand. */
         public val FIXED: GroupShares = GroupShares(PARTITION_FRACTIONS)
 
         /**
          * The shares of an adaptive upstream while its demand is unknown. They are small because a group that is too
          * small overflows to later ones, while the last group cannot use the instances of a group that is too large.
-         * The first group has its fixed share, because its streams miss their event gaps beside long prompts.
+         * No group but the last has more than the fixed share of the first.
          */
         public val INITIAL: GroupShares = GroupShares(emptyList())
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
@@ -23,7 +23,8 @@
  * its share of [retryMinimum], which applies to all entries together. [assumedEntries] is the number of entries until
  * the real number is known. [regions] are those of the data centres, as far as known. [leaving] says what it costs to
  * send requests to another data centre. With [adaptiveGroups] the sizes of the latency groups follow the demand on each
- * upstream, else only on those that are timed.
+ * upstream, else only on those that are timed. With [fairShares] organisations get equal shares of all upstreams, as
+ * they do of timed ones, and requests with a prompt that cannot end in time are refused.
  */
 data class GatewaySettings(
     val instance: InstanceId,
@@ -39,6 +40,7 @@
     val leaving: LeavingPolicy = LeavingPolicy(),
     val regions: Map<DataCentre, Region> = emptyMap(),
     val adaptiveGroups: Boolean = false,
+    val fairShares: Boolean = false,
 )
 
 /** Shared state of one entry. */
@@ -61,8 +63,9 @@
     val limits: RequestLimits get() = instances.limits
     val leaving = LeavingCosts(settings.dataCentre, entryCount, instances::isTimed, settings.leaving)
     val shares = GroupShareState { settings.adaptiveGroups || instances.isTimed(it) }
+    val fairness = FairQueueing(settings.fairShares, instances::isTimed)
     val queues =
-        StreamQueues(settings.instance, loop, nowMs, instances, entryCount, readMemory, shares::of) {
+        StreamQueues(settings.instance, loop, nowMs, instances, entryCount, readMemory, shares::of, fairness) {
             config.current?.longestTargetMsOf(it) ?: 0
         }
     val permits = PermitQueue(loop, nowMs)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -257,6 +257,7 @@
                 }
                 putJsonArray("quarantined_parts") { gateway.quarantine.quarantined.forEach { add("$it") } }
                 putGroupShares(gateway.groupShares())
+                putFairQueues(gateway)
                 putJsonArray("instances") {
                     gateway.instances.all().forEach { instance ->
                         add(
