Keep initial shares of latency groups as the least ones

Cause: a planned share below 0.15 leaves the second group, whose target is 600 ms, without instances in its bursts.

--- a/core/src/main/kotlin/io/teaselspring/core/capacity/SharePlanner.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/capacity/SharePlanner.kt
@@ -92,13 +92,10 @@
 ): GroupShares? {
     val total = work.sum()
     if (work.size < 2 || instances < MIN_INSTANCES || total <= 0) return null
-    // The shares follow a burst by two windows, in which the most urgent streams must not lack instances.
-    val leastOfFirst = maxOf(GroupShares.FIXED.of(0), 1.0 / instances)
-    return GroupShares(
-        work.dropLast(1).mapIndexed { group, tokens ->
-            (tokens / total).coerceIn(if (group == 0) leastOfFirst else 1.0 / instances, MAX_SHARE)
-        },
-    )
+    // Shares follow a burst by two windows, in which urgent streams must not lack instances. What a group does not need
+    // for the moment is lent to later groups while it is idle.
+    val least = maxOf(GroupShares.INITIAL.of(0), 1.0 / instances)
+    return GroupShares(work.dropLast(1).map { (it / total).coerceIn(least, MAX_SHARE) })
 }
 
 private fun isWorthPublishing(
--- a/core/src/test/kotlin/io/teaselspring/core/capacity/SharePlannerTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/capacity/SharePlannerTest.kt
@@ -46,8 +46,9 @@
             workOf(GroupDemand(9, 0, 0, 0)) shouldBe 0.0
         }
 
-        test("each group but the last has at least one instance, the first its fixed share, and at most half of them") {
+        test("each group but the last has at least its initial share, one instance, and at most half of them") {
             sharesFor(listOf(0.0, 900.0, 100.0), 10)?.fractions shouldBe listOf(0.15, 0.5)
+            sharesFor(listOf(900.0, 0.0, 100.0), 10)?.fractions shouldBe listOf(0.5, 0.15)
             sharesFor(listOf(0.0, 0.0, 100.0), 4)?.fractions shouldBe listOf(0.25, 0.25)
             sharesFor(listOf(200.0, 300.0, 500.0), 10)?.fractions shouldBe listOf(0.2, 0.3)
             listOf(sharesFor(listOf(0.0, 0.0), 10), sharesFor(listOf(1.0), 10), sharesFor(listOf(1.0, 1.0), 3))
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GroupSharesFleetTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GroupSharesFleetTest.kt
@@ -72,7 +72,7 @@
             fleet.endWindow(100, 200, 700)
             fleet.shares() shouldBe listOf(listOf(0.4, 0.2))
             fleet.endWindow(100, 200, 700)
-            // The first group keeps its fixed share of 0.15, although 0.1 of the work is its own.
+            // The first group keeps its initial share of 0.15, although 0.1 of the work is its own.
             fleet.shares() shouldBe listOf(listOf(0.15, 0.2))
         }
 
