--- a/review/standins-2/CrashCase.java
+++ b/review/standins-2/CrashCase.java
@@ -14,9 +14,8 @@
     public static void main(String[] args) { Site.play(CrashCase::run); }
 
     static void run(Site site) throws Exception {
-        Engine slow = new Engine(site, "i-notes", "notes");
-        slow.workMs = 2500;
-        slow.slots = 64;
+        List<Engine> notes = new ArrayList<>();
+        for (int i = 0; i < 3; i++) notes.add(new Engine(site, "i-notes" + i, "notes"));
         Engine app = new Engine(site, "i-app", "app");
         app.workTimePct = 100;
         site.service("notes");
@@ -31,7 +30,6 @@
 
         // Kept channels: each has carried one request before.
         List<Http.Channel> callers = new ArrayList<>();
-        slow.workMs = 15;
         for (int i = 0; i < CALLERS; i++) {
             Socket socket = new Socket("127.0.0.1", entry.front);
             socket.setSoTimeout(9000);
@@ -41,7 +39,7 @@
             Http.Message answer = Http.read(channel.in, true, null);
             if (answer == null || answer.status() != 200) throw new IllegalStateException("no answer on a quiet site");
         }
-        slow.workMs = 2500;
+        for (Engine e : notes) e.workMs = 2500;
         long registryCallMs = site.store.awaitFeed("servers");
         Thread.sleep(Math.max(1, registryCallMs + 700 - site.store.nowMs()));
         List<Future<String>> results = new ArrayList<>();
