Compare work times only with those of instances still registered

Cause: WorkTimeChecks asks the instances, waits a second, and compares each with the median of the instances registered by then. If all of them have been replaced or removed meanwhile, no work time is known and known[known.size / 2] of an empty list throws, which ends the process.

Evidence: the entry's log of the case on holds event=fatal with IndexOutOfBoundsException, "Empty list doesn't contain element at index 0".

Change: the second check looks only at instances that are still registered, and the median may be missing.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/WorkTimeChecks.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/WorkTimeChecks.kt
@@ -55,7 +55,7 @@
             asked += due
             check(due)
             delay(recheckAfter)
-            check(due.filter(::isSlow))
+            check(slowOf(due))
         }
     }
 
@@ -84,11 +84,22 @@
         )
     }
 
-    private fun isSlow(instance: UpstreamInstance): Boolean {
-        val pct = instance.load.workTime.lastingPct ?: return true
-        val all =
-            instances.all().filter { it.registered.upstream == instance.registered.upstream }
-        val known = all.mapNotNull { it.load.workTime.lastingPct }.sorted()
-        return pct > known[known.size / 2]
+    /**
+     * The instances of [checked] that are still registered and whose work time is unknown or longer than that of most
+     * instances of their upstream. The registry may have replaced any of them since they were checked, or all.
+     */
+    private fun slowOf(checked: List<UpstreamInstance>): List<UpstreamInstance> {
+        val registered = instances.all().toSet()
+        val medians =
+            registered.groupBy { it.registered.upstream }.mapValues { (_, all) ->
+                all.mapNotNull { it.load.workTime.lastingPct }.sorted().middleOrNull()
+            }
+        return checked.filter { instance ->
+            val pct = instance.load.workTime.lastingPct
+            val median = medians[instance.registered.upstream]
+            instance in registered && (pct == null || median == null || pct > median)
+        }
     }
+
+    private fun List<Int>.middleOrNull() = getOrNull(size / 2)
 }
