Restart a background task after an exception instead of ending the process

Cause: tasks were launched with nothing but the handler of the process above them, which halts it. Where no such handler is set, the exception ended the task for good: the entry followed the configuration or the registry no more.

Change: launchRestarting runs a task again with a growing delay, logs task_failed and counts teaselspring_task_failures_total; launchOnce does the same without running it again. Errors of the virtual machine still end the process, as do exceptions in an agent's scheduler, whose state may be wrong afterwards. Tasks that wait for a signal look for work first, so that a signal that a failed run has taken is not lost. A lease write that throws counts as one without a known outcome; otherwise the lease would wait for it for ever.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/Daemon.kt
@@ -44,7 +44,8 @@
             Runtime.getRuntime().halt(exitCode.get())
         }
     Runtime.getRuntime().addShutdownHook(hook)
-    // A loop that fails would leave a process that looks alive; ending it makes the platform start a new one.
+    // An error outside the supervised tasks would leave a process that looks alive; ending it makes the platform start
+    // a new one.
     val fatal =
         CoroutineExceptionHandler { _, error ->
             log.error("event=fatal error=\"{}\"", error.toString(), error)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/agent/Agent.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/agent/Agent.kt
@@ -10,6 +10,7 @@
 import io.teaselspring.core.registry.Availability
 import io.teaselspring.daemon.MonotonicMs
 import io.teaselspring.daemon.gateway.ByteBudget
+import io.teaselspring.daemon.launchRestarting
 import io.teaselspring.daemon.link.Link
 import io.teaselspring.daemon.link.LinkContext
 import io.teaselspring.daemon.link.LinkListener
@@ -100,8 +101,9 @@
     /** Starts the agent and returns the address that it listens on for links. */
     suspend fun start(internalAddress: String): String {
         scope.coroutineContext.job.invokeOnCompletion { upstream.close() }
+        // The scheduler is not restarted: after an error its counts of running requests may be wrong for good.
         scope.launch { loop.run() }
-        scope.launch { checkHealthPeriodically() }
+        scope.launchRestarting("health_check") { checkHealthPeriodically() }
         return scope.listenForLinks(links, internalAddress, ::handleLink).also { listener = it }.address
     }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/control/AgentControl.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/control/AgentControl.kt
@@ -4,13 +4,13 @@
 package io.teaselspring.daemon.control
 
 import io.teaselspring.core.Incarnation
+import io.teaselspring.daemon.launchRestarting
 import io.teaselspring.daemon.usage.AgentUsage
 import io.teaselspring.daemon.usage.UsageTable
 import io.teaselspring.ports.Platform
 import io.teaselspring.ports.describe
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import kotlin.random.Random
@@ -33,7 +33,7 @@
     val usage = AgentUsage(own, UsageTable(platform.table), clock, usageWindow.inWholeMilliseconds)
 
     /** Starts the loops in [scope]; they end with the returned job. */
-    fun start(scope: CoroutineScope): Job = scope.launch { usage.run(random) }
+    fun start(scope: CoroutineScope): Job = scope.launchRestarting("usage") { usage.run(random) }
 
     /** Stores what is left, once all work has ended; gives up after [limit], and entries store what they know of. */
     suspend fun stop(limit: Duration = 5.seconds) {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/control/EntryControl.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/control/EntryControl.kt
@@ -15,6 +15,7 @@
 import io.teaselspring.daemon.config.ConfigSync
 import io.teaselspring.daemon.config.ConfigTable
 import io.teaselspring.daemon.keys.KeyService
+import io.teaselspring.daemon.launchRestarting
 import io.teaselspring.daemon.lease.LeaseKeeper
 import io.teaselspring.daemon.link.Link
 import io.teaselspring.daemon.link.LinkContext
@@ -117,16 +118,16 @@
         val orders = orderLoop(views)
         return scope
             .launch {
-                launch { sync.run(random) }
-                launch { peers.run() }
-                launch { keys.run(random) }
-                launch { directory.poll(platform.instances, random) }
-                launch { mesh.run(links) }
-                launch { usage.run(random) }
-                launch { usageLease.run() }
-                launch { reporter.run() }
-                launch { ordersLease.run() }
-                launch { orders.run() }
+                launchRestarting("config_sync") { sync.run(random) }
+                launchRestarting("peer_exchange") { peers.run() }
+                launchRestarting("key_sync") { keys.run(random) }
+                launchRestarting("directory") { directory.poll(platform.instances, random) }
+                launchRestarting("entry_mesh") { mesh.run(links) }
+                launchRestarting("usage") { usage.run(random) }
+                launchRestarting("usage_lease") { usageLease.run() }
+                launchRestarting("usage_reporter") { reporter.run() }
+                launchRestarting("orders_lease") { ordersLease.run() }
+                launchRestarting("orders") { orders.run() }
             }.also { loops = it }
     }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/entry/Entry.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/Entry.kt
@@ -6,6 +6,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.teaselspring.daemon.MonotonicMs
 import io.teaselspring.daemon.config.ConfigSource
+import io.teaselspring.daemon.launchRestarting
 import io.teaselspring.daemon.link.Link
 import io.teaselspring.daemon.link.LinkContext
 import io.teaselspring.daemon.link.LinkListener
@@ -18,7 +19,6 @@
 import io.teaselspring.protocol.Role
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -110,7 +110,7 @@
     suspend fun start(): EntryAddresses {
         val internal = scope.listenForLinks(links, settings.addresses.internal, ::serve)
         listener = internal
-        scope.launch {
+        scope.launchRestarting("key_withdrawals") {
             dependencies.config.withdrawals.collect { keyIds ->
                 inboxes.deliverWithdrawal(keyIds)
                 pool.sendWithdrawal(keyIds)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CrashReports.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CrashReports.kt
@@ -112,12 +112,12 @@
         maxRetryDelay: Duration = 2.seconds,
     ): Nothing {
         while (true) {
-            changed.receive()
             var delay = interval
             while (quarantine.ownReport != stored) {
                 delay = if (store(quarantine.ownReport)) interval else minOf(delay * 2, maxRetryDelay)
                 delay(delay)
             }
+            changed.receive()
         }
     }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayMetrics.kt
@@ -126,6 +126,14 @@
             .labelNames("call", "outcome")
             .register(registry)
 
+    private val taskFailures =
+        Counter
+            .builder()
+            .name("teaselspring_task_failures_total")
+            .help("Unexpected errors of background tasks, by task")
+            .labelNames("task")
+            .register(registry)
+
     private val outOfStep =
         Counter
             .builder()
@@ -208,6 +216,8 @@
         outcome: String,
     ) = queueDecisions.labelValues(upstream, organisation, priority.toString(), outcome).inc()
 
+    fun taskFailed(task: String) = taskFailures.labelValues(task).inc()
+
     fun storeRestored() = storeRestores.inc()
 
     fun responded(
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -10,6 +10,7 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.teaselspring.core.routing.CallerLimits
 import io.teaselspring.daemon.http.checkReachable
+import io.teaselspring.daemon.launchRestarting
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -144,8 +145,9 @@
         platform.storeGeneration.onRestored(::onStoreRestored)
         val config = configFollower()
         gateway.config.onStale = { config.readNow(scope) }
-        scope.launch { config.run() }
-        scope.launch { registryFollower().run() }
+        val registry = registryFollower()
+        start("config_follower") { config.run() }
+        start("registry_follower") { registry.run() }
         platform.sharedRows?.let {
             onConfigOutageEnded =
                 SharedRows(
@@ -153,16 +155,21 @@
                     limits,
                     gateway.shares,
                     platform.storeGeneration,
-                ).follow(it, scope, runtime.clock)
-            scope.launch { gateway.quarantine.reports.run() }
-            scope.launch { gateway.publishGroupShares(platform.table, usage) }
+                ).follow(it, scope, runtime.clock, runtime.metrics::taskFailed)
+            start("crash_reports") { gateway.quarantine.reports.run() }
+            start("group_shares") { gateway.publishGroupShares(platform.table, usage) }
         }
-        scope.launch { limits.run() }
-        scope.launch { workTimeChecks.run() }
-        scope.launch { housekeeping() }
-        if (platform.usage != null) scope.launch { usage.report(platform.usage) }
+        start("request_limits") { limits.run() }
+        start("work_time_checks") { workTimeChecks.run() }
+        start("housekeeping") { housekeeping() }
+        platform.usage?.let { start("usage") { usage.report(it, runtime.metrics::taskFailed) } }
     }
 
+    private fun start(
+        name: String,
+        loop: suspend () -> Unit,
+    ) = scope.launchRestarting(name, runtime.metrics::taskFailed, task = loop)
+
     private fun onStoreRestored() {
         log.warn("event=store_restored generation={}", platform.storeGeneration.current)
         runtime.metrics.storeRestored()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayUsage.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayUsage.kt
@@ -12,6 +12,8 @@
 import io.teaselspring.core.placement.LatencyGroup
 import io.teaselspring.core.usage.EntryUsageRow
 import io.teaselspring.core.usage.UsageWindow
+import io.teaselspring.daemon.OnTaskFailure
+import io.teaselspring.daemon.launchRestarting
 import io.teaselspring.daemon.lease.LeaseKeeper
 import io.teaselspring.daemon.usage.USAGE_LEASE
 import io.teaselspring.daemon.usage.UsageReporter
@@ -20,7 +22,6 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import kotlin.time.Clock
@@ -91,8 +92,11 @@
         if (platform.usage != null) counts.recordDemand(upstream, group, demand)
     }
 
-    /** Stores counts and reports windows to [intake] until cancelled. */
-    suspend fun report(intake: UsageIntake) {
+    /** Stores counts and reports windows to [intake] until cancelled; [onTaskFailure] gets the failures on the way. */
+    suspend fun report(
+        intake: UsageIntake,
+        onTaskFailure: OnTaskFailure,
+    ) {
         sharedClock.establishOrigin()
         val reporter =
             UsageReporter(
@@ -113,11 +117,15 @@
             restored.trySend(Unit)
         }
         coroutineScope {
-            launch { storeAgainAfterRestores(reporter) }
-            launch { entries.run() }
-            launch { counts.run(entries::value) }
-            launch { lease.run() }
-            launch { reporter.run(times.usageInterval) }
+            val storeAgainOnFailure = { task: String ->
+                restored.trySend(Unit)
+                onTaskFailure(task)
+            }
+            launchRestarting("usage_after_restore", storeAgainOnFailure) { storeAgainAfterRestores(reporter) }
+            launchRestarting("entry_count", onTaskFailure) { entries.run() }
+            launchRestarting("usage_counts", onTaskFailure) { counts.run(entries::value) }
+            launchRestarting("usage_lease", onTaskFailure) { lease.run() }
+            launchRestarting("usage_reporter", onTaskFailure) { reporter.run(times.usageInterval) }
         }
     }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceMemory.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceMemory.kt
@@ -4,9 +4,9 @@
  */
 package io.teaselspring.daemon.gateway
 
+import io.teaselspring.daemon.launchOnce
 import io.teaselspring.ports.describe
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 import java.util.WeakHashMap
 import kotlin.time.Duration
@@ -33,7 +33,7 @@
         val now = nowMs()
         if (now - (askedAtMs[instance] ?: Long.MIN_VALUE / 2) < retryInterval.inWholeMilliseconds) return
         askedAtMs[instance] = now
-        scope.launch {
+        scope.launchOnce("instance_memory") {
             readMemory(instance.registered.address) { instance.onResponse(it) }.fold(
                 { log.info("event=memory_unknown instance={} {}", instance.registered.id, it.describe()) },
                 { instance.memoryTokens = it },
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestLimits.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestLimits.kt
@@ -132,11 +132,11 @@
     suspend fun run(interval: Duration = 100.milliseconds) {
         coroutineScope {
             while (true) {
-                changes.receive()
                 do {
                     startDueCalls()
                     delay(interval)
                 } while (limits.values.any { it.isActive })
+                changes.receive()
             }
         }
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SharedRows.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SharedRows.kt
@@ -12,9 +12,10 @@
 import io.teaselspring.core.limit.LimitAnnouncement
 import io.teaselspring.core.placement.GroupShares
 import io.teaselspring.core.quarantine.CrashReport
+import io.teaselspring.daemon.OnTaskFailure
+import io.teaselspring.daemon.launchRestarting
 import io.teaselspring.ports.WatchedTable
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.launch
 import kotlinx.serialization.json.Json
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -93,13 +94,15 @@
         table: WatchedTable<SharedRow>,
         scope: CoroutineScope,
         clock: () -> ClockReading,
+        onTaskFailure: OnTaskFailure,
     ): () -> Unit {
         val times = FollowTimes(wait = 10.seconds, interval = 100.milliseconds)
         val follower = TableFollower("shared", table, times, clock, this, generation)
-        var job = scope.launch { follower.run() }
+        val start = { scope.launchRestarting("shared_follower", onTaskFailure) { follower.run() } }
+        var job = start()
         return {
             job.cancel()
-            job = scope.launch { follower.run() }
+            job = start()
         }
     }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/TableFollower.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/TableFollower.kt
@@ -8,6 +8,7 @@
 import arrow.core.Either
 import io.teaselspring.core.freshness.StoreGeneration
 import io.teaselspring.core.lease.ClockReading
+import io.teaselspring.daemon.launchOnce
 import io.teaselspring.ports.PlatformError
 import io.teaselspring.ports.TableChanges
 import io.teaselspring.ports.TableContent
@@ -15,7 +16,6 @@
 import io.teaselspring.ports.describe
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -125,7 +125,7 @@
     fun readNow(scope: CoroutineScope) {
         if (isReadingSnapshot || failures > 0) return
         isReadingSnapshot = true
-        scope.launch {
+        scope.launchOnce("${name}_snapshot") {
             try {
                 readSnapshot()
             } finally {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/lease/LeaseKeeper.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/lease/LeaseKeeper.kt
@@ -14,8 +14,9 @@
 import io.teaselspring.daemon.config.TABLE
 import io.teaselspring.ports.PlatformError
 import io.teaselspring.ports.TableStore
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
-import kotlinx.serialization.SerializationException
+import kotlinx.coroutines.ensureActive
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.decodeFromJsonElement
 import kotlinx.serialization.json.encodeToJsonElement
@@ -91,7 +92,7 @@
         while (actions.isNotEmpty()) {
             when (val action = actions.removeFirst()) {
                 LeaseAction.Read -> actions += step(read())
-                is LeaseAction.Write -> actions += step(write(action))
+                is LeaseAction.Write -> actions += step(writeOrUnclear(action))
                 is LeaseAction.Acquired -> log.info("event=lease_began lease={} epoch={}", name, action.epoch)
                 is LeaseAction.Ended -> logEnd(action)
             }
@@ -102,12 +103,22 @@
         table.get(TABLE, name).fold({ LeaseEvent.ReadFailed }) { row ->
             try {
                 LeaseEvent.Read(row?.let { json.decodeFromJsonElement<LeaseRow>(it.value) }, row?.version ?: 0)
-            } catch (e: SerializationException) {
+            } catch (e: IllegalArgumentException) {
                 log.error("event=lease_unreadable lease={} error=\"{}\"", name, e.message)
                 LeaseEvent.ReadFailed
             }
         }
 
+    /** Without an outcome the lease would wait for that of this write for ever. */
+    private suspend fun writeOrUnclear(action: LeaseAction.Write): LeaseEvent =
+        try {
+            write(action)
+        } catch (e: Exception) {
+            currentCoroutineContext().ensureActive()
+            log.error("event=lease_write_failed lease={} error=\"{}\"", name, e.toString(), e)
+            LeaseEvent.WriteUnclear
+        }
+
     private suspend fun write(action: LeaseAction.Write): LeaseEvent =
         table.put(TABLE, name, json.encodeToJsonElement(action.row), action.ifVersion).fold(
             { if (it is PlatformError.Unavailable) LeaseEvent.WriteFailed else LeaseEvent.WriteUnclear },
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/FakeWatchedTable.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/FakeWatchedTable.kt
@@ -17,7 +17,10 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
 
-/** A watched table in memory. While [isHanging], calls do not return; while [isUnavailable], they fail at once. */
+/**
+ * A watched table in memory. While [isHanging], calls do not return; while [isUnavailable], they fail at once; while
+ * [thrown] is set, they throw it.
+ */
 class FakeWatchedTable<T> : WatchedTable<T> {
     /** The rows with the version of their last change; the value of a deleted row is null. */
     class State<T>(
@@ -28,6 +31,11 @@
     private val state = MutableStateFlow(State<T>(emptyMap(), 0))
     var isHanging = false
     var isUnavailable = false
+    var thrown: Exception? = null
+
+    /** How many calls have thrown [thrown]. */
+    var throws = 0
+        private set
 
     /** Sets the row [key], or deletes it if [value] is null. */
     fun set(
@@ -53,6 +61,7 @@
 
     override suspend fun read(): Either<PlatformError, TableContent<T>> {
         if (isHanging) awaitCancellation()
+        throwIfAsked()
         if (isUnavailable) return unavailable().left()
         val now = state.value
         return TableContent(
@@ -67,6 +76,7 @@
     ): Either<PlatformError, TableChanges<T>> {
         withTimeoutOrNull(wait) { state.first { it.version != after } }
         if (isHanging) awaitCancellation()
+        throwIfAsked()
         if (isUnavailable) return unavailable().left()
         val now = state.value
         if (now.version < after) return TableChanges.HistoryLost.right()
@@ -74,5 +84,12 @@
         return TableChanges.Changed(changed, now.version).right()
     }
 
+    private fun throwIfAsked() {
+        thrown?.let {
+            throws += 1
+            throw it
+        }
+    }
+
     private fun unavailable() = PlatformError.Unavailable("read", "fake", "away")
 }
