Ignore registry rows that are older than the newest one known

Cause: the registry in memory took any row that differed from the one before. The sequence of a row was not decoded, the start of its process was compared for difference only, and draining was not kept for the life of a process.

InstanceFollowerTest (rows late by 0 to 5.6 s) failed before.

Change: a row is late if its process started earlier than the known one, if it has a lower sequence of the same process, or if it says that a process which drains is ready. It changes nothing, also after the deletion of the instance's row. A row that stands for 10 s in a registry that is being read is applied all the same, since the clock of an instance may be set back between two starts. A process with a later start is used with its first row. The rule for restores of the store is no longer needed.

--- a/core/src/main/kotlin/io/teaselspring/core/registry/InstanceRegistry.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/registry/InstanceRegistry.kt
@@ -1,7 +1,12 @@
 /*
  * Service discovery: the upstream instances that the platform's registry lists. Rows arrive one by one or as a full
- * snapshot; what a row does not contain is not inferred. An instance whose row disappeared during an outage of the
- * registry is kept for a grace period, because the rows of live instances return shortly after the registry does.
+ * snapshot. An instance whose row disappeared during an outage of the registry is kept for a grace period, because the
+ * rows of live instances return shortly after the registry does.
+ *
+ * The registry may perform a write seconds after its writer has given it up, and so bring back a row that a newer one
+ * had replaced or that was deleted. Such a row is older than the newest one known of its instance, by the start of the
+ * process or by the sequence of its rows; see [isOlderThan]. It is not applied, unless it stands for so long that a live
+ * instance would have replaced it.
  */
 package io.teaselspring.core.registry
 
@@ -11,7 +16,8 @@
 
 /**
  * An upstream instance. [startedAtMs] distinguishes restarts under one id; null if unknown. [warmUpLeftMs] is the time
- * for which it stays cold after the row was written, 0 if it is warm; null if it does not say.
+ * for which it stays cold after the row was written, 0 if it is warm; null if it does not say. [sequence] rises with
+ * each row that the process writes; null if unknown.
  */
 public data class RegisteredInstance(
     val id: InstanceId,
@@ -22,6 +28,7 @@
     val isDraining: Boolean,
     val startedAtMs: Long?,
     val warmUpLeftMs: Long? = null,
+    val sequence: Long? = null,
 )
 
 /** A change of one instance from [before] to [now]; null where the registry does not list it. */
@@ -31,60 +38,145 @@
     val now: RegisteredInstance?,
 )
 
-/** The instances listed by the registry, and those missing from it for less than [graceMs]. Not thread-safe. */
+/**
+ * The instances listed by the registry, and those missing from it for less than [graceMs]. [onLateRow] gets each row
+ * that is older than the known one when it is first seen. Times are monotonic milliseconds. Not thread-safe.
+ */
 public class InstanceRegistry(
     private val graceMs: Long = GRACE_MS,
+    private val lateRowMs: Long = LATE_ROW_MS,
+    private val onLateRow: (row: RegisteredInstance, known: RegisteredInstance) -> Unit = { _, _ -> },
 ) {
     private val instancesById = LinkedHashMap<InstanceId, RegisteredInstance>()
     private val missingSinceMs = HashMap<InstanceId, Long>()
 
+    /** The last rows of removed instances, against which a late row is recognised. */
+    private val removedById = HashMap<InstanceId, DatedRow>()
+
+    /** Rows that were older than the known one when they were first seen, and still stand in the registry. */
+    private val lateById = HashMap<InstanceId, DatedRow>()
+
     /** All instances, including missing ones in their grace period. */
     public val instances: Collection<RegisteredInstance> get() = instancesById.values
 
-    /** Applies one row; a null [instance] means that the row was deleted or describes no usable instance. */
+    /**
+     * Applies one row, read at [nowMs]; a null [instance] means that the row was deleted or describes no usable
+     * instance. Returns null if nothing but the sequence has changed, or if the row is older than the known one.
+     */
     public fun update(
         id: InstanceId,
         instance: RegisteredInstance?,
+        nowMs: Long,
     ): RegistryChange? {
-        missingSinceMs.remove(id)
-        val before = if (instance == null) instancesById.remove(id) else instancesById.put(id, instance)
-        return if (before == instance) null else RegistryChange(id, before, instance)
+        if (instance == null) return remove(id, nowMs)
+        val known = newestKnown(id)
+        if (known != null && instance.isOlderThan(known)) {
+            val seen = lateById[id]?.takeIf { it.row.startedAtMs == instance.startedAtMs }
+            if (seen == null) onLateRow(instance, known)
+            lateById[id] = DatedRow(instance, seen?.sinceMs ?: nowMs)
+            return null
+        }
+        return apply(id, instance.copy(startedAtMs = instance.startedAtMs ?: known?.startedAtMs))
     }
 
     /**
-     * Replaces all rows by the snapshot [all] at [nowMs]. After an outage ([afterOutage]) missing instances stay for
-     * the grace period; otherwise they are removed at once. After a restore of the registry from an older copy
-     * ([afterRestore]) a draining instance stays so, until its own row changes.
+     * Replaces all rows by the snapshot [all], read at [nowMs]. After an outage ([afterOutage]) missing instances stay
+     * for the grace period; otherwise they are removed at once.
      */
     public fun replace(
         all: Map<InstanceId, RegisteredInstance?>,
         afterOutage: Boolean,
         nowMs: Long,
-        afterRestore: Boolean = false,
     ): List<RegistryChange> {
-        val changes =
-            all
-                .filterNot { (id, instance) -> afterRestore && instancesById[id].isDrainingBefore(instance) }
-                .mapNotNull { (id, instance) -> update(id, instance) }
+        // While the registry could not be read, a late row may have come and gone.
+        if (afterOutage) lateById.clear()
+        val changes = all.mapNotNull { (id, instance) -> update(id, instance, nowMs) }
+        lateById.keys.retainAll(all.keys)
         val missing = instancesById.keys.filter { it !in all }
-        if (!afterOutage) return changes + missing.filter { it !in missingSinceMs }.mapNotNull { update(it, null) }
+        if (!afterOutage) {
+            return changes + missing.filter { it !in missingSinceMs }.mapNotNull { remove(it, nowMs) }
+        }
         missing.forEach { missingSinceMs.putIfAbsent(it, nowMs) }
         return changes
     }
 
-    private fun RegisteredInstance?.isDrainingBefore(row: RegisteredInstance?) =
-        this != null && isDraining && row != null && !row.isDraining && row.startedAtMs == startedAtMs
+    /**
+     * Applies the rows that were older than the known ones and have stood until [nowMs], when the registry was read,
+     * for so long that they must be the newest: the clock of an instance may be set back between two starts.
+     */
+    public fun applyStandingRows(nowMs: Long): List<RegistryChange> =
+        lateById
+            .filterValues { nowMs - it.sinceMs >= lateRowMs }
+            .mapNotNull { (id, late) ->
+                val known = newestKnown(id)
+                val drains = known != null && known.isDraining && late.row.isSameProcessAs(known)
+                apply(id, late.row.copy(isDraining = late.row.isDraining || drains))
+            }
 
     /** Removes the instances whose grace period has ended at [nowMs]. */
-    public fun expire(nowMs: Long): List<RegistryChange> =
-        missingSinceMs
+    public fun expire(nowMs: Long): List<RegistryChange> {
+        removedById.values.removeIf { nowMs - it.sinceMs >= REMEMBERED_MS }
+        return missingSinceMs
             .filterValues { nowMs - it >= graceMs }
             .keys
             .toList()
-            .mapNotNull { update(it, null) }
+            .mapNotNull { remove(it, nowMs) }
+    }
+
+    private fun newestKnown(id: InstanceId) = instancesById[id] ?: removedById[id]?.row
+
+    private fun apply(
+        id: InstanceId,
+        instance: RegisteredInstance,
+    ): RegistryChange? {
+        missingSinceMs.remove(id)
+        lateById.remove(id)
+        removedById.remove(id)
+        val before = instancesById.put(id, instance)
+        return if (before?.copy(sequence = instance.sequence) == instance) null else RegistryChange(id, before, instance)
+    }
+
+    private fun remove(
+        id: InstanceId,
+        nowMs: Long,
+    ): RegistryChange? {
+        missingSinceMs.remove(id)
+        lateById.remove(id)
+        val before = instancesById.remove(id) ?: return null
+        removedById[id] = DatedRow(before, nowMs)
+        return RegistryChange(id, before, null)
+    }
+
+    private class DatedRow(
+        val row: RegisteredInstance,
+        val sinceMs: Long,
+    )
 
     private companion object {
         /** Rows of live instances return within about two seconds after the registry does. */
         const val GRACE_MS = 2_000L
+
+        /** Longer than a live instance takes to write its next row, and than the row of one that is silent stays. */
+        const val LATE_ROW_MS = 10_000L
+
+        /** Longer than a write can be late. */
+        const val REMEMBERED_MS = 60_000L
     }
 }
+
+/**
+ * Whether this row was written before [known]: by an earlier process, or earlier by the same one. A row without the
+ * start of its process says nothing of processes and counts as one of the known process. A process that drains does not
+ * become ready again, whatever its sequence says.
+ */
+private fun RegisteredInstance.isOlderThan(known: RegisteredInstance): Boolean {
+    val startedMs = startedAtMs
+    val knownStartedMs = known.startedAtMs
+    if (startedMs != null && knownStartedMs != null && startedMs != knownStartedMs) return startedMs < knownStartedMs
+    val number = sequence
+    val knownNumber = known.sequence
+    return (number != null && knownNumber != null && number < knownNumber) || (known.isDraining && !isDraining)
+}
+
+private fun RegisteredInstance.isSameProcessAs(other: RegisteredInstance) =
+    startedAtMs != null && startedAtMs == other.startedAtMs
--- a/core/src/test/kotlin/io/teaselspring/core/registry/InstanceRegistryTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/registry/InstanceRegistryTest.kt
@@ -1,6 +1,6 @@
 /*
- * Guards against dropping live instances whose rows the registry lost in its own outage, and against keeping instances
- * that no longer exist.
+ * Guards against dropping live instances whose rows the registry lost in its own outage, against keeping instances that
+ * no longer exist, and against rows that the registry performs late and that take newer ones back.
  */
 package io.teaselspring.core.registry
 
@@ -16,17 +16,25 @@
         fun instance(
             id: String,
             isDraining: Boolean = false,
-            startedAtMs: Long = 1,
+            startedAtMs: Long? = 1,
+            sequence: Long? = null,
+            slots: Int = 64,
         ) = RegisteredInstance(
             InstanceId(id),
             UpstreamName("narradores"),
             "10.0.0.1:80",
             DataCentre("oviedo"),
-            64,
+            slots,
             isDraining,
             startedAtMs,
+            sequence = sequence,
         )
 
+        fun InstanceRegistry.put(
+            row: RegisteredInstance,
+            nowMs: Long = 0,
+        ) = update(row.id, row, nowMs)
+
         fun InstanceRegistry.ids() = instances.map { it.id.value }
 
         fun rows(vararg all: RegisteredInstance) = all.associateBy { it.id }
@@ -45,7 +53,7 @@
             val registry = InstanceRegistry(graceMs = 2_000)
             registry.replace(rows(instance("a")), afterOutage = false, nowMs = 0)
             registry.replace(rows(), afterOutage = true, nowMs = 5_000)
-            registry.update(InstanceId("a"), instance("a"))
+            registry.update(InstanceId("a"), instance("a"), nowMs = 6_000)
             registry.expire(9_000)
             registry.ids() shouldContainExactly listOf("a")
         }
@@ -53,7 +61,7 @@
         test("an instance whose row is deleted while the registry is available is removed at once") {
             val registry = InstanceRegistry()
             registry.replace(rows(instance("a")), afterOutage = false, nowMs = 0)
-            registry.update(InstanceId("a"), null)?.now shouldBe null
+            registry.update(InstanceId("a"), null, nowMs = 0)?.now shouldBe null
             registry.ids() shouldBe emptyList()
         }
 
@@ -68,8 +76,78 @@
 
         test("an unchanged row is no change") {
             val registry = InstanceRegistry()
-            registry.update(InstanceId("a"), instance("a"))
-            registry.update(InstanceId("a"), instance("a")) shouldBe null
-            registry.update(InstanceId("a"), instance("a", startedAtMs = 2))?.before?.startedAtMs shouldBe 1
+            registry.put(instance("a", sequence = 1))
+            registry.put(instance("a", sequence = 1)) shouldBe null
+            registry.put(instance("a", sequence = 2)) shouldBe null
+            registry.put(instance("a", startedAtMs = 2))?.before?.startedAtMs shouldBe 1
+        }
+
+        test("an instance that drains stays so whatever a later row of the same process says") {
+            listOf(null, 4L, 6L).forEach { sequence ->
+                val registry = InstanceRegistry(lateRowMs = 10_000)
+                registry.put(instance("a", isDraining = true, sequence = 5))
+                registry.put(instance("a", sequence = sequence)) shouldBe null
+                registry.applyStandingRows(10_000)
+                registry.instances.single().isDraining shouldBe true
+            }
+        }
+
+        test("an earlier row of the same process changes nothing") {
+            val registry = InstanceRegistry()
+            registry.put(instance("a", sequence = 5, slots = 8))
+            registry.put(instance("a", sequence = 4, slots = 64)) shouldBe null
+            registry.put(instance("a", sequence = 4, isDraining = true)) shouldBe null
+            registry.instances.single() shouldBe instance("a", sequence = 5, slots = 8)
+        }
+
+        test("a new process is listed at once, and a late row of the one before changes nothing") {
+            val registry = InstanceRegistry()
+            registry.put(instance("a", isDraining = true, startedAtMs = 1, sequence = 50))
+            registry.put(instance("a", startedAtMs = 2, sequence = 1))?.now?.isDraining shouldBe false
+            registry.put(instance("a", isDraining = true, startedAtMs = 1, sequence = 51)) shouldBe null
+            registry.instances.single().startedAtMs shouldBe 2
+        }
+
+        test("a row that is performed after its deletion brings nothing back, one of a live process does") {
+            val registry = InstanceRegistry()
+            registry.put(instance("a", sequence = 5))
+            registry.update(InstanceId("a"), null, nowMs = 1_000)
+            registry.put(instance("a", sequence = 4), nowMs = 2_000) shouldBe null
+            registry.ids() shouldBe emptyList()
+            registry.put(instance("a", sequence = 9), nowMs = 3_000)?.before shouldBe null
+            registry.ids() shouldContainExactly listOf("a")
+
+            registry.put(instance("a", isDraining = true, sequence = 10))
+            registry.update(InstanceId("a"), null, nowMs = 4_000)
+            registry.put(instance("a", sequence = 11), nowMs = 5_000) shouldBe null
+            registry.put(instance("a", startedAtMs = 2, sequence = 1), nowMs = 6_000)?.now?.isDraining shouldBe false
+        }
+
+        test("a process whose clock was set back is listed once its rows have stood longer than a late one could") {
+            val registry = InstanceRegistry(lateRowMs = 10_000)
+            registry.put(instance("a", startedAtMs = 9, sequence = 50))
+            registry.put(instance("a", startedAtMs = 7, sequence = 1), nowMs = 1_000) shouldBe null
+            registry.put(instance("a", startedAtMs = 7, sequence = 2), nowMs = 6_000) shouldBe null
+            registry.applyStandingRows(10_999) shouldBe emptyList()
+            registry.applyStandingRows(11_000).single().now?.startedAtMs shouldBe 7
+        }
+
+        test("a late row that a newer one has replaced, or that an outage hides, does not count as standing") {
+            val registry = InstanceRegistry(lateRowMs = 10_000)
+            registry.put(instance("a", startedAtMs = 9))
+            registry.put(instance("a", startedAtMs = 7), nowMs = 1_000)
+            registry.put(instance("a", startedAtMs = 9), nowMs = 2_000)
+            registry.put(instance("a", startedAtMs = 7), nowMs = 8_000)
+            registry.applyStandingRows(11_000) shouldBe emptyList()
+            registry.replace(rows(instance("a", startedAtMs = 7)), afterOutage = true, nowMs = 17_000)
+            registry.applyStandingRows(18_000) shouldBe emptyList()
+        }
+
+        test("a row without the start of its process is one of the known process") {
+            val registry = InstanceRegistry()
+            registry.put(instance("a", startedAtMs = 3, sequence = 5))
+            registry.put(instance("a", startedAtMs = null, sequence = 6, slots = 8))?.now?.startedAtMs shouldBe 3
+            registry.put(instance("a", startedAtMs = 3, isDraining = true, sequence = 7))
+            registry.put(instance("a", startedAtMs = null, sequence = 8)) shouldBe null
         }
     })
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceFollower.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceFollower.kt
@@ -39,11 +39,16 @@
     ) {
         val mayMissRows = gap == TableGap.OUTAGE || gap == TableGap.RESTORE
         val byId = rows.mapKeys { InstanceId(it.key) }
-        onChanges(registry.replace(byId, mayMissRows, nowMs(), gap == TableGap.RESTORE))
+        val now = nowMs()
+        onChanges(registry.replace(byId, mayMissRows, now) + registry.applyStandingRows(now))
     }
 
     override fun onChanges(
         changes: Map<String, RegisteredInstance?>,
         askedAt: ClockReading,
-    ) = onChanges(changes.mapNotNull { (id, row) -> registry.update(InstanceId(id), row) })
+    ) {
+        val now = nowMs()
+        val applied = changes.mapNotNull { (id, row) -> registry.update(InstanceId(id), row, now) }
+        onChanges(applied + registry.applyStandingRows(now))
+    }
 }
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/InstanceFollowerTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/InstanceFollowerTest.kt
@@ -107,7 +107,7 @@
     /** Ids of the instances that may get requests. */
     val available: List<String> get() {
         registry.expire(scope.currentTime)
-        return registry.instances.map { it.id.value }
+        return registry.instances.filter { !it.isDraining }.map { it.id.value }
     }
 
     init {
@@ -163,4 +163,26 @@
                 }
             }
         }
+
+        test("an instance that drains gets nothing more when the registry performs an earlier row of it late") {
+            for (lateAfterMs in 0L..5_600 step 700) {
+                runTest {
+                    val followed = FollowedRegistry(this)
+                    delay(10.seconds)
+                    val draining = instance("a").copy(isDraining = true)
+                    followed.table.set("a", draining)
+                    delay(1_500.milliseconds)
+                    followed.available shouldNotContain "a"
+                    delay(lateAfterMs.milliseconds)
+                    followed.table.set("a", instance("a"))
+                    repeat(30) {
+                        delay(50.milliseconds)
+                        withClue("late by $lateAfterMs ms") { followed.available shouldNotContain "a" }
+                    }
+                    followed.table.set("a", instance("a").copy(startedAtMs = 2))
+                    delay(1_500.milliseconds)
+                    followed.available shouldContain "a"
+                }
+            }
+        }
     })
