Keep what an instance has said in responses when its row comes back

Callers: an instance that had said in a response that it is leaving got requests again once its registry row had been deleted and came back, as a row that the store performs late does.

Cause: the statements of a process were kept with its row.

Evidence: InstanceStatementsTest failed before: the instance got a second request.

Change: the statements are kept for a minute after the row of the process is deleted. Rows that are not applied because they are late are logged (instance_row_late).

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -32,6 +32,8 @@
     val server: ServerConnections,
     val limit: InstanceLimit,
     private val dataCentres: DataCentres = DataCentres(),
+    /** What the process has said about the requests that it wants. */
+    val stated: StatedAvailability = StatedAvailability(),
 ) {
     private val rampPhase = dataCentres.nextRampPhase()
     var registered = registered
@@ -46,9 +48,6 @@
     private var ejectedUntilMs = 0L
     val prefixCache = PrefixCacheEstimate()
 
-    /** What the process has said about the requests that it wants. */
-    val stated = StatedAvailability()
-
     /** Applies a changed registry row of the same process. */
     fun update(
         row: RegisteredInstance,
@@ -216,9 +215,10 @@
     val limits: RequestLimits,
     val dataCentres: DataCentres,
 ) {
-    val registry = InstanceRegistry()
+    val registry = InstanceRegistry(onLateRow = ::logLateRow)
     private val byId = LinkedHashMap<InstanceId, UpstreamInstance>()
     private val byUpstream = HashMap<UpstreamName, List<UpstreamInstance>>()
+    private val removedById = HashMap<InstanceId, RemovedInstance>()
 
     /** Called when an instance has stated its work time for the first time, and when instances were added. */
     var onTimedChanged: () -> Unit = {}
@@ -276,16 +276,11 @@
                 old.update(now, nowMs())
                 limits.changed()
             } else {
-                byId.remove(change.id)?.let { limits.remove(it.registered) }
-                if (now != null) {
-                    byId[change.id] =
-                        UpstreamInstance(
-                            now,
-                            connections.server(now.address),
-                            limits.add(now, !isLoaded),
-                            dataCentres,
-                        )
+                byId.remove(change.id)?.let {
+                    limits.remove(it.registered)
+                    removedById[change.id] = RemovedInstance(it, nowMs())
                 }
+                if (now != null) byId[change.id] = create(now)
             }
             if (old != null && byId.values.none { it.registered.address == old.registered.address }) {
                 connections.forget(old.registered.address)
@@ -296,7 +291,23 @@
         onTimedChanged()
     }
 
-    fun removeExpired() = apply(registry.expire(nowMs()))
+    /** A row that comes back takes back nothing that the same process has said in its responses. */
+    private fun create(row: RegisteredInstance): UpstreamInstance {
+        val removed = removedById.remove(row.id)?.instance?.takeIf { it.isSameProcess(row) }
+        return UpstreamInstance(
+            row,
+            connections.server(row.address),
+            limits.add(row, !isLoaded),
+            dataCentres,
+            removed?.stated ?: StatedAvailability(),
+        )
+    }
+
+    fun removeExpired() {
+        val now = nowMs()
+        removedById.values.removeIf { now - it.atMs >= REMEMBERED_MS }
+        apply(registry.expire(now))
+    }
 
     private fun stateOf(now: RegisteredInstance?) =
         when {
@@ -309,4 +320,30 @@
         registered.address == now.address &&
             registered.upstream == now.upstream &&
             registered.startedAtMs == now.startedAtMs
+
+    private class RemovedInstance(
+        val instance: UpstreamInstance,
+        val atMs: Long,
+    )
+
+    private companion object {
+        /** Longer than the row of a live instance stays away. */
+        const val REMEMBERED_MS = 60_000L
+    }
 }
+
+private fun logLateRow(
+    row: RegisteredInstance,
+    known: RegisteredInstance,
+) = log.info(
+    "event=instance_row_late instance={} upstream={} draining={} started_at_ms={} sequence={} known_draining={} " +
+        "known_started_at_ms={} known_sequence={}",
+    row.id,
+    row.upstream,
+    row.isDraining,
+    row.startedAtMs,
+    row.sequence,
+    known.isDraining,
+    known.startedAtMs,
+    known.sequence,
+)
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/InstanceStatementsTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/InstanceStatementsTest.kt
@@ -18,11 +18,13 @@
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.registry.RegisteredInstance
 import io.teaselspring.daemon.eventually
-import kotlinx.coroutines.async
-import kotlinx.coroutines.coroutineScope
 import java.io.OutputStream
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 
 private const val LEAVING = "X-Leaving: 1\r\n"
 private const val NANOS_PER_MS = 1_000_000L
@@ -77,6 +79,26 @@
             }
         }
 
+        test("an instance that has said it is leaving gets no request when its row is deleted and comes back") {
+            val leaving =
+                ScriptedUpstream { request, output ->
+                    output.respond(request, extra = LEAVING)
+                    ConnectionAction.KEEP
+                }
+            withGateway(leaving, sound()) {
+                eventually {
+                    call(PLAIN)
+                    leaving.requests.value.size shouldBe 1
+                }
+                instances.set("engine-0", null)
+                delay(REGISTRY_READ)
+                add("engine-0", leaving)
+                delay(REGISTRY_READ)
+                repeat(40) { call(PLAIN) }
+                leaving.requests.value.size shouldBe 1
+            }
+        }
+
         test("a request whose connection opens after the instance has said that it is leaving is not sent") {
             val mayAnswer = CountDownLatch(1)
             val hasAnswered = CountDownLatch(1)
@@ -220,6 +242,9 @@
         }
     })
 
+/** Longer than the interval at which an entry reads the registry. */
+private val REGISTRY_READ = 1_700.milliseconds
+
 /** The row of a later process at the address of [upstream]. */
 private fun restarted(upstream: ScriptedUpstream) =
     RegisteredInstance(
