--- a/core/src/main/kotlin/io/teaselspring/core/registry/InstanceRegistry.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/registry/InstanceRegistry.kt
@@ -133,7 +133,8 @@
         lateById.remove(id)
         removedById.remove(id)
         val before = instancesById.put(id, instance)
-        return if (before?.copy(sequence = instance.sequence) == instance) null else RegistryChange(id, before, instance)
+        val isUnchanged = before?.copy(sequence = instance.sequence) == instance
+        return if (isUnchanged) null else RegistryChange(id, before, instance)
     }
 
     private fun remove(
--- a/core/src/test/kotlin/io/teaselspring/core/registry/InstanceRegistryTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/registry/InstanceRegistryTest.kt
@@ -129,7 +129,11 @@
             registry.put(instance("a", startedAtMs = 7, sequence = 1), nowMs = 1_000) shouldBe null
             registry.put(instance("a", startedAtMs = 7, sequence = 2), nowMs = 6_000) shouldBe null
             registry.applyStandingRows(10_999) shouldBe emptyList()
-            registry.applyStandingRows(11_000).single().now?.startedAtMs shouldBe 7
+            registry
+                .applyStandingRows(11_000)
+                .single()
+                .now
+                ?.startedAtMs shouldBe 7
         }
 
         test("a late row that a newer one has replaced, or that an outage hides, does not count as standing") {
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/InstanceStatementsTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/InstanceStatementsTest.kt
@@ -18,13 +18,13 @@
 import io.teaselspring.core.InstanceId
 import io.teaselspring.core.registry.RegisteredInstance
 import io.teaselspring.daemon.eventually
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import java.io.OutputStream
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.milliseconds
-import kotlinx.coroutines.async
-import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.delay
 
 private const val LEAVING = "X-Leaving: 1\r\n"
 private const val NANOS_PER_MS = 1_000_000L
