Confirm nothing while the newest configuration cannot be read

Cause: the reader of the operators' table passes a row that it cannot decode on as no row, and a change without a configuration confirmed that the one in force is the newest. Each later poll confirmed it again, until a request found the confirmation too old between two polls and the whole table was read.

Change: an unreadable configuration is passed on as such and a deletion is recognised by the row's key; either confirms nothing until a readable version that is not older is read. Requests start no reads of the table meanwhile.

--- a/core/src/main/kotlin/io/teaselspring/core/routing/OperatorRow.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/routing/OperatorRow.kt
@@ -5,9 +5,12 @@
 
 import io.teaselspring.core.DataCentre
 
-/** A row that operators write: a [RoutingConfig] or an [EvacuationOrder]. */
+/** A row that operators write: a [RoutingConfig], which may be unreadable, or an [EvacuationOrder]. */
 public sealed interface OperatorRow
 
+/** The row holds a configuration that cannot be decoded, so that it is not known what the newest one allows. */
+public data object UnreadableConfig : OperatorRow
+
 /** [dataCentre] is evacuated as long as the row exists. */
 public data class EvacuationOrder(
     val dataCentre: DataCentre,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ConfigState.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ConfigState.kt
@@ -22,7 +22,9 @@
 ) {
     private val freshness = Freshness()
     private val waiters = ArrayList<Waiter>()
-    private var isStoreBehind = false
+
+    /** Whether the store is known to hold no newer configuration than [current], or one that cannot be read. */
+    private var isNewest = false
 
     /** The newest configuration known, null before the first read. */
     var current: RoutingConfig? = null
@@ -45,14 +47,29 @@
         isComplete: Boolean,
     ) {
         if (config != null) apply(config)
-        if (config != null || isComplete) isStoreBehind = (config?.version ?: -1) < (current?.version ?: -1)
-        if (isStoreBehind) return
+        if (config != null || isComplete) {
+            recordNewest(config != null && config.version >= checkNotNull(current).version)
+        }
+        if (!isNewest) return
         freshness.recordRead(askedAt, clock())
         val satisfied = waiters.filter { waiter -> ageMs().isBelow(waiter.maxAgeMs) }
         waiters -= satisfied.toSet()
         satisfied.forEach { it.finish(true) }
     }
 
+    /**
+     * Records that the newest configuration cannot be read or was deleted. Nothing confirms [current] until one is read
+     * again that is not older.
+     */
+    fun recordUnreadable() = recordNewest(false)
+
+    private fun recordNewest(isNewest: Boolean) {
+        if (isNewest == this.isNewest) return
+        this.isNewest = isNewest
+        val event = if (isNewest) "config_confirmed" else "config_unconfirmed"
+        log.info("event={} version={} config_age_ms={}", event, current?.version, ageMs())
+    }
+
     private fun apply(config: RoutingConfig) {
         val old = current
         if (old != null && config.version <= old.version) return
@@ -83,7 +100,8 @@
             timeout.inWholeMilliseconds,
             TimeUnit.MILLISECONDS,
         )
-        onStale()
+        // The watch of the table shows the next configuration; until then a read finds the same one as before.
+        if (isNewest || current == null) onStale()
     }
 
     private fun Long?.isBelow(maxAgeMs: Long) = this != null && this < maxAgeMs
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/OperatorRows.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/OperatorRows.kt
@@ -1,6 +1,7 @@
 /*
  * Passes the rows of the operators' table on: evacuations first, so that no request is placed by a configuration that
- * is newer than the evacuations known.
+ * is newer than the evacuations known. A configuration that cannot be read, or is deleted, may take away what the one
+ * in force allows, so it is passed on as well and confirms nothing.
  */
 package io.teaselspring.daemon.gateway
 
@@ -8,6 +9,7 @@
 import io.teaselspring.core.routing.EvacuationOrder
 import io.teaselspring.core.routing.OperatorRow
 import io.teaselspring.core.routing.RoutingConfig
+import io.teaselspring.core.routing.UnreadableConfig
 
 /** Applies rows to [config] and [dataCentres]; calls [onOutageEnded] after a time without knowledge of the table. */
 internal class OperatorRows(
@@ -16,6 +18,9 @@
     private val nowMs: () -> Long,
     private val onOutageEnded: () -> Unit,
 ) : TableListener<OperatorRow> {
+    /** Keys of the rows that hold a configuration, readable or not. */
+    private val configKeys = HashSet<String>()
+
     /** All rows, also after a restore of the store: a row that this read lacks is known to be absent. */
     override fun onSnapshot(
         rows: Map<String, OperatorRow?>,
@@ -25,6 +30,8 @@
         dataCentres.evacuationsChanged(
             dataCentres.evacuations.replaceAll(rows.dataCentres().filterNotNullValues(), nowMs()),
         )
+        configKeys.clear()
+        configKeys += rows.configKeys()
         config.recordConfirmation(askedAt, newestConfig(rows), isComplete = true)
         if (gap != TableGap.NONE) onOutageEnded()
     }
@@ -34,9 +41,17 @@
         askedAt: ClockReading,
     ) {
         dataCentres.evacuationsChanged(dataCentres.evacuations.apply(changes.dataCentres(), nowMs()))
-        config.recordConfirmation(askedAt, newestConfig(changes), isComplete = false)
+        val newest = newestConfig(changes)
+        val isUnreadable =
+            newest == null &&
+                changes.any { (key, row) -> row == UnreadableConfig || (row == null && key in configKeys) }
+        configKeys += changes.configKeys()
+        if (isUnreadable) config.recordUnreadable() else config.recordConfirmation(askedAt, newest, isComplete = false)
     }
 
+    private fun Map<String, OperatorRow?>.configKeys() =
+        filterValues { it is RoutingConfig || it == UnreadableConfig }.keys
+
     private fun newestConfig(rows: Map<String, OperatorRow?>) =
         rows.values.filterIsInstance<RoutingConfig>().maxByOrNull { it.version }
 
