Name no organisation on public routes by an outdated configuration

Cause: a fresh configuration was required only where the route needs a key, but the organisation is looked up wherever a key is sent.

Evidence: ConfigFreshnessTest failed before: the instance was told "hotel" instead of no organisation.

Change: an organisation is named only by a configuration that is fresh enough for keys. If none can be read within 50 ms, a public request is served without one; the regions that the organisation allows still restrict it.

--- a/core/src/main/kotlin/io/teaselspring/core/routing/RoutingConfig.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/routing/RoutingConfig.kt
@@ -92,6 +92,10 @@
 
         /** The regions that both the route and the organisation allow; null if neither restricts them. */
         val allowedRegions: Set<Region>? get() = intersectionOf(route.allowedRegions, organisation?.allowedRegions)
+
+        /** The decision without [organisation], whose key may have been withdrawn; what restricts it still holds. */
+        public fun withoutOrganisation(): Allowed =
+            Allowed(route.copy(allowedRegions = allowedRegions), organisation = null)
     }
 }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/AuthorisedRequest.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/AuthorisedRequest.kt
@@ -14,6 +14,7 @@
 import io.teaselspring.core.routing.RoutingConfig
 import io.teaselspring.core.routing.RoutingDecision
 import io.teaselspring.core.routing.dataCentresIn
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * A request allowed by version [configVersion] of the configuration, which was then at most [configAgeMs] old. Unless
@@ -90,7 +91,7 @@
 
 /**
  * Authorises [request] by [config]. If the decision requires a fresher configuration, waits for a confirmed read of it.
- * [done] gets a null decision if no such read succeeds in time.
+ * If no such read succeeds in time, [done] gets a null decision, or on a public route one without the organisation.
  */
 internal fun Gateway.authorise(
     config: RoutingConfig,
@@ -102,19 +103,31 @@
     val maxAgeMs =
         when {
             decision !is RoutingDecision.Allowed -> settings.certainMs
-            decision.organisation != null && !decision.route.isPublic -> settings.keyFreshnessMs
+            decision.organisation != null -> settings.keyFreshnessMs
             else -> Long.MAX_VALUE
         }
     if (maxAgeMs == Long.MAX_VALUE) {
         done(config, decision)
         return
     }
-    this.config.awaitFreshness(maxAgeMs) { isFresh ->
+    val isPublic = decision is RoutingDecision.Allowed && decision.route.isPublic
+    this.config.awaitFreshness(maxAgeMs, if (isPublic) PUBLIC_REFRESH_TIMEOUT else REFRESH_TIMEOUT) { isFresh ->
         val newest = this.config.current ?: config
-        done(newest, if (isFresh) newest.decideRequest() else null)
+        val newDecision = newest.decideRequest()
+        done(newest, if (isFresh) newDecision else newDecision.withoutKey())
     }
 }
 
+/** What holds of this decision if the key may have been withdrawn; null if that is nothing. */
+private fun RoutingDecision.withoutKey(): RoutingDecision? =
+    if (this is RoutingDecision.Allowed && route.isPublic) withoutOrganisation() else null
+
+/** A confirmed read takes a few milliseconds; a store that takes this long counts as unavailable. */
+private val REFRESH_TIMEOUT = 150.milliseconds
+
+/** Shorter, because the request is served in any case. */
+private val PUBLIC_REFRESH_TIMEOUT = 50.milliseconds
+
 /**
  * Parses the caller's list of prompt parts: `ID:TOKENS`, separated by commas; malformed parts are ignored. Numbers are
  * bounded, so that sums of many requests do not overflow.
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ConfigState.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ConfigState.kt
@@ -11,7 +11,6 @@
 import org.slf4j.LoggerFactory
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 private val log = LoggerFactory.getLogger("io.teaselspring.daemon.gateway")
 
@@ -86,7 +85,7 @@
     /** Calls [onResult] with true once the age is below [maxAgeMs], or with false after [timeout]. */
     fun awaitFreshness(
         maxAgeMs: Long,
-        timeout: Duration = REFRESH_TIMEOUT,
+        timeout: Duration,
         onResult: (Boolean) -> Unit,
     ) {
         if (ageMs().isBelow(maxAgeMs)) {
@@ -110,9 +109,4 @@
         val maxAgeMs: Long,
         val finish: (Boolean) -> Unit,
     )
-
-    private companion object {
-        /** A confirmed read takes a few milliseconds; a store that takes this long counts as unavailable. */
-        val REFRESH_TIMEOUT = 150.milliseconds
-    }
 }
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/ConfigFreshnessTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/ConfigFreshnessTest.kt
@@ -84,4 +84,24 @@
                 }
             }
         }
+
+        test("a public request with a key is served without an organisation once the configuration is too old") {
+            val upstream = echo()
+            withGateway(upstream, settings = shortFreshness) {
+                fun organisation() =
+                    upstream.requests.value
+                        .last()
+                        .header("X-Organisation")
+                call(PUBLIC) shouldStartWith "HTTP/1.1 200"
+                organisation() shouldBe "hotel"
+                call(PUBLIC, key = "other") shouldStartWith "HTTP/1.1 200"
+                organisation() shouldBe null
+                config.isHanging = true
+                eventually { call(PLAIN) shouldStartWith "HTTP/1.1 503" }
+                repeat(5) {
+                    call(PUBLIC) shouldStartWith "HTTP/1.1 200"
+                    organisation() shouldBe null
+                }
+            }
+        }
     })
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
@@ -48,6 +48,9 @@
 internal const val STREAM = "/stream/"
 internal const val RESUMED = "/resumed/"
 
+/** A route that needs no key. */
+internal const val PUBLIC = "/public/"
+
 /** Where instances state their status; only those that state their work time are asked. */
 internal const val STATUS = "/status"
 
@@ -121,6 +124,7 @@
             route(ORDER, RouteKind.NON_IDEMPOTENT, attempts = 2),
             route(STREAM, RouteKind.STREAM, attempts = 2),
             route(RESUMED, RouteKind.STREAM, attempts = 2, isResumable = true),
+            route(PUBLIC, RouteKind.IDEMPOTENT, attempts = 2, isPublic = true),
         ),
         listOf(
             CallerOrganisation(OrganisationId("hotel"), keys, 1),
@@ -135,6 +139,7 @@
         kind: RouteKind,
         attempts: Int,
         isResumable: Boolean = false,
+        isPublic: Boolean = false,
     ) = RequestRoute(
         prefix,
         "rides.example",
@@ -146,7 +151,7 @@
         maxEventGapMs = null,
         priority = 2,
         maxAttempts = attempts,
-        isPublic = false,
+        isPublic,
         isResumable,
     )
 
