--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayServer.kt
@@ -265,30 +265,7 @@
                 putJsonArray("quarantined_parts") { gateway.quarantine.quarantined.forEach { add("$it") } }
                 putGroupShares(gateway.groupShares())
                 putFairQueues(gateway)
-                putJsonArray("instances") {
-                    gateway.instances.all().forEach { instance ->
-                        add(
-                            buildJsonObject {
-                                put("instance", instance.registered.id.value)
-                                put("upstream", instance.registered.upstream.value)
-                                put("address", instance.registered.address)
-                                put("draining", instance.registered.isDraining)
-                                put(
-                                    "availability",
-                                    instance.stated
-                                        .at(runtime.nowMs())
-                                        .name
-                                        .lowercase(),
-                                )
-                                put("own_calls", instance.load.ownRequests)
-                                put("pending_prefill_tokens", instance.pendingPrefillTokens)
-                                put("work_time_pct", instance.load.workTime.lastingPct)
-                                put("requests_per_second_limit", instance.limit.perSecond)
-                                put("warm_up_left_ms", instance.limit.coldLeftMs(runtime.nowMs()))
-                            },
-                        )
-                    }
-                }
+                putInstances(gateway)
             }
         return Page(dump.toString())
     }
