--- a/core/src/main/kotlin/io/teaselspring/core/registry/InstanceRegistry.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/registry/InstanceRegistry.kt
@@ -5,7 +5,7 @@
  *
  * The registry may perform a write seconds after its writer has given it up, and so bring back a row that a newer one
  * had replaced or that was deleted. Such a row is older than the newest one known of its instance, by the start of the
- * process or by the sequence of its rows; see [isOlderThan]. It is not applied, unless it stands for so long that a live
+ * process or by the sequence of its rows; see [isOlderThan]. It is not applied, unless it stays for so long that a live
  * instance would have replaced it.
  */
 package io.teaselspring.core.registry
@@ -53,7 +53,7 @@
     /** The last rows of removed instances, against which a late row is recognised. */
     private val removedById = HashMap<InstanceId, DatedRow>()
 
-    /** Rows that were older than the known one when they were first seen, and still stand in the registry. */
+    /** Rows that were older than the known one when they were first seen, and are still in the registry. */
     private val lateById = HashMap<InstanceId, DatedRow>()
 
     /** All instances, including missing ones in their grace period. */
@@ -101,10 +101,10 @@
     }
 
     /**
-     * Applies the rows that were older than the known ones and have stood until [nowMs], when the registry was read,
-     * for so long that they must be the newest: the clock of an instance may be set back between two starts.
+     * Applies the rows that were older than the known ones and are still there at [nowMs], when the registry was read,
+     * after so long that they must be the newest: the clock of an instance may be set back between two starts.
      */
-    public fun applyStandingRows(nowMs: Long): List<RegistryChange> =
+    public fun applyLastingRows(nowMs: Long): List<RegistryChange> =
         lateById
             .filterValues { nowMs - it.sinceMs >= lateRowMs }
             .mapNotNull { (id, late) ->
--- a/core/src/test/kotlin/io/teaselspring/core/registry/InstanceRegistryTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/registry/InstanceRegistryTest.kt
@@ -87,7 +87,7 @@
                 val registry = InstanceRegistry(lateRowMs = 10_000)
                 registry.put(instance("a", isDraining = true, sequence = 5))
                 registry.put(instance("a", sequence = sequence)) shouldBe null
-                registry.applyStandingRows(10_000)
+                registry.applyLastingRows(10_000)
                 registry.instances.single().isDraining shouldBe true
             }
         }
@@ -123,28 +123,28 @@
             registry.put(instance("a", startedAtMs = 2, sequence = 1), nowMs = 6_000)?.now?.isDraining shouldBe false
         }
 
-        test("a process whose clock was set back is listed once its rows have stood longer than a late one could") {
+        test("a process whose clock was set back is listed once its rows have lasted longer than a late one could") {
             val registry = InstanceRegistry(lateRowMs = 10_000)
             registry.put(instance("a", startedAtMs = 9, sequence = 50))
             registry.put(instance("a", startedAtMs = 7, sequence = 1), nowMs = 1_000) shouldBe null
             registry.put(instance("a", startedAtMs = 7, sequence = 2), nowMs = 6_000) shouldBe null
-            registry.applyStandingRows(10_999) shouldBe emptyList()
+            registry.applyLastingRows(10_999) shouldBe emptyList()
             registry
-                .applyStandingRows(11_000)
+                .applyLastingRows(11_000)
                 .single()
                 .now
                 ?.startedAtMs shouldBe 7
         }
 
-        test("a late row that a newer one has replaced, or that an outage hides, does not count as standing") {
+        test("a late row that a newer one has replaced, or that an outage hides, does not count as lasting") {
             val registry = InstanceRegistry(lateRowMs = 10_000)
             registry.put(instance("a", startedAtMs = 9))
             registry.put(instance("a", startedAtMs = 7), nowMs = 1_000)
             registry.put(instance("a", startedAtMs = 9), nowMs = 2_000)
             registry.put(instance("a", startedAtMs = 7), nowMs = 8_000)
-            registry.applyStandingRows(11_000) shouldBe emptyList()
+            registry.applyLastingRows(11_000) shouldBe emptyList()
             registry.replace(rows(instance("a", startedAtMs = 7)), afterOutage = true, nowMs = 17_000)
-            registry.applyStandingRows(18_000) shouldBe emptyList()
+            registry.applyLastingRows(18_000) shouldBe emptyList()
         }
 
         test("a row without the start of its process is one of the known process") {
--- a/core/src/test/kotlin/io/teaselspring/core/registry/LateRowPropertyTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/registry/LateRowPropertyTest.kt
@@ -94,7 +94,7 @@
                         }
                     }
                     registry.expire(nowMs)
-                    registry.applyStandingRows(nowMs)
+                    registry.applyLastingRows(nowMs)
                 }
             }
             late shouldBeGreaterThan 1_000
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceFollower.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceFollower.kt
@@ -40,7 +40,7 @@
         val mayMissRows = gap == TableGap.OUTAGE || gap == TableGap.RESTORE
         val byId = rows.mapKeys { InstanceId(it.key) }
         val now = nowMs()
-        onChanges(registry.replace(byId, mayMissRows, now) + registry.applyStandingRows(now))
+        onChanges(registry.replace(byId, mayMissRows, now) + registry.applyLastingRows(now))
     }
 
     override fun onChanges(
@@ -49,6 +49,6 @@
     ) {
         val now = nowMs()
         val applied = changes.mapNotNull { (id, row) -> registry.update(InstanceId(id), row, now) }
-        onChanges(applied + registry.applyStandingRows(now))
+        onChanges(applied + registry.applyLastingRows(now))
     }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstance.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstance.kt
@@ -1,6 +1,6 @@
 /*
- * One upstream instance as this entry sees it: its own requests, the load that the instance reports in response headers,
- * and outlier ejection after failures. None of it is shared with other entries or stored.
+ * One upstream instance as this entry sees it: the entry's requests there, the load that the instance reports in its
+ * responses, and outlier ejection after failures. None of it is shared with other entries or stored.
  */
 package io.teaselspring.daemon.gateway
 
