Refuse a response whose status line is not one of HTTP

Cause: the decoder reads the number of the status line with Integer.parseInt, and nothing looked at it afterwards. The reason phrase was not looked at either, so a control character in it was passed on.

The case of the refusal, read in the code until now, is shown by a test: 0503 reached the caller as 503.

Change: ResponseDecoder accepts three digits from 100 to 599 (RFC 9112, section 4; RFC 9110, section 15) and a reason without control characters; else the head is none. Every response that the daemon reads over its own client passes there, before anything of the head is looked at: load, limit, leaving, pause and "not run" are not read from such a head, and the attempt ends as one that may have run. A status line without a reason, with or without the blank before it, is still accepted.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/ResponseDecoder.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/ResponseDecoder.kt
@@ -179,6 +179,14 @@
     override fun isContentAlwaysEmpty(message: HttpMessage) =
         method == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
 
+    /** Refuses a status line that the decoder accepts, although it is not one of HTTP. */
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        val (_, status, reason) = initialLine
+        require(STATUS.matches(status)) { "status is not three digits from 100 to 599" }
+        require(reason.none(::isControl)) { "control character in the reason phrase" }
+        return super.createMessage(initialLine)
+    }
+
     /** Refuses a line without a colon, which the decoder takes for a header with an empty value. */
     override fun splitHeaderName(
         line: ByteArray,
@@ -197,5 +205,8 @@
         const val SPACE = ' '.code.toByte()
         const val TAB = '\t'.code.toByte()
         const val COLON = ':'.code.toByte()
+        val STATUS = Regex("[1-5][0-9]{2}")
+
+        fun isControl(char: Char) = char < ' ' && char != '\t' || char == '\u007f'
     }
 }
--- /dev/null
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/http/MalformedResponses.kt
@@ -0,0 +1,48 @@
+/*
+ * Test fixture: responses that no HTTP library would write, as each client of the daemon reads them.
+ */
+package io.teaselspring.daemon.http
+
+import arrow.core.Either
+import io.teaselspring.daemon.agent.PlainEvent
+import io.teaselspring.daemon.agent.PlainHttpClient
+import io.teaselspring.daemon.agent.submit
+import io.teaselspring.daemon.gateway.ConnectionAction
+import io.teaselspring.daemon.gateway.GatewayRuntime
+import io.teaselspring.daemon.gateway.HttpCallFailure
+import io.teaselspring.daemon.gateway.HttpCallResponse
+import io.teaselspring.daemon.gateway.ScriptedUpstream
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeout
+import kotlin.time.Duration.Companion.seconds
+
+/** An upstream that answers with the Latin-1 text that [response] returns for the id of a request, and closes. */
+internal fun upstreamWriting(response: (id: String?) -> String) =
+    ScriptedUpstream { request, output ->
+        output.write(response(request.header(REQUEST_ID_HEADER)).toByteArray(Charsets.ISO_8859_1))
+        output.flush()
+        ConnectionAction.CLOSE
+    }
+
+/** The events that the agents' client reports of the response of [upstream], up to the last one. */
+internal suspend fun agentEvents(upstream: ScriptedUpstream): List<PlainEvent> =
+    withContext(Dispatchers.IO) {
+        PlainHttpClient("http://${upstream.address}", 5.seconds).use { client ->
+            client.send(submit()).use { exchange ->
+                withTimeout(10.seconds) {
+                    buildList {
+                        do {
+                            add(exchange.next())
+                        } while (last() is PlainEvent.Head || last() is PlainEvent.BodyChunk)
+                    }
+                }
+            }
+        }
+    }
+
+/** What a call of the control plane makes of the response of [upstream]. */
+internal suspend fun controlCall(upstream: ScriptedUpstream): Either<HttpCallFailure, HttpCallResponse> {
+    val runtime = GatewayRuntime()
+    return withContext(runtime.dispatcher) { runtime.calls.call(upstream.address, "GET", "/api/get", 5.seconds) }
+}
