Take no status outside 100 to 599 from the platform

Agents and their entries: after a write that the platform answered with the status 000, none, 600 or 999 the write counted as not applied, and may be sent again. A control character in the reason phrase was accepted.

Cause: the same as in the daemon's own client: nobody looked at the number that the client library had read.

Evidence: MalformedHeadTest.

The library drops leading zeros (0503 is read as 503, 0200 as 200) and offers neither the bytes nor the text of the status.

Already handled: all ten malformed field lines, also a blank before the colon and a folded line, and a refusal with such a line.

--- a/ports/src/main/kotlin/io/teaselspring/ports/HttpPlatform.kt
+++ b/ports/src/main/kotlin/io/teaselspring/ports/HttpPlatform.kt
@@ -196,8 +196,8 @@
         val body = readBody(MAX_BODY_BYTES) ?: throw IOException("response body over $MAX_BODY_BYTES bytes")
         val isWrite = call.request.method != HttpMethod.Get
         val isRefusedWrite = isWrite && !status.isSuccess()
-        val problem = joinProblem(body) ?: unknownEnd().takeIf { isRefusedWrite }
-        if (problem != null) throw IOException("not one response: $problem")
+        val problem = statusProblem() ?: joinProblem(body) ?: unknownEnd().takeIf { isRefusedWrite }
+        if (problem != null) throw IOException("not a whole response: $problem")
         return PlatformResponse(status.value, headers["ETag"]?.trim('"'), body, isWrite)
     }
 
