Report a malformed head of a daemon's response as such in teaselspringctl

Operators: a daemon's response with the status 000, none, 600 or 999 ended with exit code 1, "refused by the daemon", after which a script may repeat a change that was made. Heads that the client library cannot parse (099, 20, 2000, +200, a blank or control character in the name of a field) ended the program with a stack trace. None of them counted as a success.

Cause: the number was not looked at, and the library's exceptions for a head that it cannot parse were not caught.

Evidence: MalformedResponseTest failed before, at the status 000 with exit code 1; after a check of the number alone, at 099 with a ParserException.

Change: both end with exit code 4 and name what was wrong.

Measured: MalformedResponseTest (13 heads) and ProgramTest passed.

--- a/ctl/src/main/kotlin/io/teaselspring/ctl/DaemonClient.kt
+++ b/ctl/src/main/kotlin/io/teaselspring/ctl/DaemonClient.kt
@@ -13,6 +13,7 @@
 import io.ktor.client.statement.bodyAsText
 import io.ktor.http.ContentType
 import io.ktor.http.HttpMethod
+import io.ktor.http.cio.ParserException
 import io.ktor.http.contentType
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.SerializationException
@@ -34,6 +35,9 @@
 // Longer than the daemon's own calls to the store, with their retries.
 private const val REQUEST_TIMEOUT_MS = 70_000L
 
+/** RFC 9110, section 15. */
+private val STATUSES = 100..599
+
 /** A daemon and the operator's key for it. */
 class DaemonClient(
     private val baseUrl: String,
@@ -61,6 +65,11 @@
                 unreachable(e)
             } catch (e: UnresolvedAddressException) {
                 unreachable(e)
+            } catch (e: ParserException) {
+                unreachable(e)
+            } catch (e: NumberFormatException) {
+                // The client library throws it for a status that is not a number.
+                unreachable(e)
             }
         val answer = parse(text)
         if (status !in 200..299) failWith(status, answer, text)
@@ -84,6 +93,8 @@
                         setBody(body.toString())
                     }
                 }
+            // The client library accepts any number as a status.
+            if (response.status.value !in STATUSES) throw IOException("malformed status ${response.status.value}")
             response.status.value to response.bodyAsText()
         }
 
