Take no response as whole whose server closed before it had read the request

Callers: an engine answered a long upload at once with a 200 without a length, sent a part of the body and closed the connection while the upload lay unread. An engine that resets the connection at once (linger 0) was found before; one whose close sends the end first, as Java's does, was not.

Cause: its kernel sends the reset behind the end of the connection. The client reads the end, which is how such a body ends, and its write has long succeeded, since the kernel took the bytes. A read reports no reset that follows the end.

Change: where a request has a body and the response ends with its connection, the client keeps its side open at the end, waits 20 ms for the reset and writes an empty line, which fails after a reset and which a server that still reads has to ignore (RFC 9112, section 2.2). If the write fails, the response is broken. A connection that has ended on one side is not used again. Responses with a length or in chunks, and requests without a body, take the same path as before and wait for nothing. A server that ends its side and goes on reading, or that has read everything, still gives a whole response, 20 ms later.

What remains: a reset that comes more than 20 ms after the end, or is lost, is not seen: an empty line that reaches a closed connection is answered by a reset in any case, so a later one proves nothing.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
@@ -10,6 +10,8 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelInputShutdownEvent
+import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
@@ -158,6 +160,7 @@
             else -> {
                 isSkipping = false
                 response = head
+                if (head.mayEndUnread(sent)) channel.keepOpenAfterInput()
                 listener?.head(head)
             }
         }
@@ -204,12 +207,31 @@
         }
         val cause = failure ?: truncation() ?: content.trailingHeaders().statusLineProblem()
         if (cause != null) return fail(cause)
+        if (isHalfClosed) return endUnlessReset()
         isEnding = true
         // The decoder passes on what it has got behind the response.
         channel.pipeline().remove(decoder)
         if (!channel.isActive) endResponse()
     }
 
+    private val isHalfClosed: Boolean get() = channel.isActive && (channel as DuplexChannel).isInputShutdown
+
+    private fun endUnlessReset() {
+        val ended = listener
+        channel.checkReset { isReset ->
+            if (listener !== ended) return@checkReset
+            if (isReset) fail("connection reset before the whole request was read") else endResponse()
+        }
+    }
+
+    override fun userEventTriggered(
+        ctx: ChannelHandlerContext,
+        event: Any,
+    ) {
+        val isInsideResponse = currentHead != null
+        if (event is ChannelInputShutdownEvent && isInsideResponse) close()
+    }
+
     private fun addBehind(bytes: ByteBuf) {
         if (hasBytesBehind) return
         hasBytesBehind = true
@@ -252,7 +274,7 @@
         val idleMs = head?.takeIf { HttpUtil.isKeepAlive(it) }?.idleTimeoutMs() ?: 0
         // The server may have responded before it read the whole request body, and would parse the rest as a request.
         val isWritten = writeFuture?.isSuccess == true
-        val isInStep = isWritten && !isRefusal && !hasBytesBehind
+        val isInStep = isWritten && !isRefusal && !hasBytesBehind && !isHalfClosed
         if (isInStep && idleMs > 0) {
             expiresAtMs = server.now() + idleMs
             server.release(this)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/ResponseDecoder.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/ResponseDecoder.kt
@@ -9,6 +9,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpDecoderConfig
@@ -72,9 +73,22 @@
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
+        endHold(ctx)
+        super.channelInactive(ctx)
+    }
+
+    override fun userEventTriggered(
+        ctx: ChannelHandlerContext,
+        event: Any,
+    ) {
+        if (event is ChannelInputShutdownEvent) endHold(ctx)
+        super.userEventTriggered(ctx, event)
+    }
+
+    /** The server has ended the connection: no further bytes decide what those held back are. */
+    private fun endHold(ctx: ChannelHandlerContext) {
         if (held.isReadable && isHeldProof()) refuse(ctx)
         decodeHeld(ctx)
-        super.channelInactive(ctx)
     }
 
     /**
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/ScriptedUpstream.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/ScriptedUpstream.kt
@@ -13,25 +13,35 @@
 import java.net.Socket
 import kotlin.concurrent.thread
 
-/** A request as received. */
+/** A request as received. [unread] has its body if the upstream leaves that to the script, which may read it or not. */
 class ReceivedRequest(
     val line: String,
     private val headerLines: List<String>,
     val body: String,
+    val unread: InputStream = InputStream.nullInputStream(),
 ) {
     /** The value of the header [name], or null. */
     fun header(name: String): String? =
         headerLines.firstOrNull { it.startsWith("$name:", ignoreCase = true) }?.substringAfter(':')?.trim()
 }
 
-/** What to do with the connection after a response. */
-enum class ConnectionAction { KEEP, CLOSE, RESET }
+/** What to do with the connection after a response; with [HALF_CLOSE] the upstream goes on reading. */
+enum class ConnectionAction { KEEP, CLOSE, RESET, HALF_CLOSE }
 
-/** Runs [script] for each request; it writes the response and returns what to do with the connection. */
+/**
+ * Runs [script] for each request; it writes the response and returns what to do with the connection. The bodies of
+ * requests are read before that if [readsBodies].
+ */
 class ScriptedUpstream(
     port: Int,
+    private val readsBodies: Boolean,
     private val script: (ReceivedRequest, OutputStream) -> ConnectionAction,
 ) : AutoCloseable {
+    constructor(
+        port: Int,
+        script: (ReceivedRequest, OutputStream) -> ConnectionAction,
+    ) : this(port, readsBodies = true, script)
+
     constructor(script: (ReceivedRequest, OutputStream) -> ConnectionAction) : this(0, script)
 
     /** All requests received. */
@@ -54,7 +64,7 @@
     }
 
     private fun serve(socket: Socket) {
-        val input = socket.getInputStream().buffered()
+        val input = socket.getInputStream().let { if (readsBodies) it.buffered() else it }
         while (true) {
             val request =
                 try {
@@ -75,6 +85,10 @@
                     return
                 }
             if (action == ConnectionAction.RESET) socket.setSoLinger(true, 0)
+            if (action == ConnectionAction.HALF_CLOSE) {
+                socket.shutdownOutput()
+                input.readAllBytes()
+            }
             if (action != ConnectionAction.KEEP) return
         }
     }
@@ -82,6 +96,7 @@
     private fun readRequest(input: InputStream): ReceivedRequest? {
         val lines = generateSequence { readLine(input)?.takeIf { it.isNotEmpty() } }.toList()
         if (lines.isEmpty()) return null
+        if (!readsBodies) return ReceivedRequest(lines.first(), lines.drop(1), "", input)
         val length = lines.firstOrNull { it.startsWith("content-length:", ignoreCase = true) }
         val body = input.readNBytes(length?.substringAfter(':')?.trim()?.toInt() ?: 0)
         return ReceivedRequest(lines.first(), lines.drop(1), body.decodeToString())
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/http/MalformedResponses.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/http/MalformedResponses.kt
@@ -12,6 +12,7 @@
 import io.teaselspring.daemon.gateway.HttpCallFailure
 import io.teaselspring.daemon.gateway.HttpCallResponse
 import io.teaselspring.daemon.gateway.ScriptedUpstream
+import io.teaselspring.protocol.Message
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeout
@@ -28,11 +29,14 @@
 /** This text with all but printable ASCII characters as \\xNN, for names of tests. */
 internal fun String.visible() = map { if (it in ' '..'~') "$it" else "\\x%02x".format(it.code) }.joinToString("")
 
-/** The events that the agents' client reports of the response of [upstream], up to the last one. */
-internal suspend fun agentEvents(upstream: ScriptedUpstream): List<PlainEvent> =
+/** The events that the agents' client reports of the response of [upstream] to [request], up to the last one. */
+internal suspend fun agentEvents(
+    upstream: ScriptedUpstream,
+    request: Message.Submit = submit(),
+): List<PlainEvent> =
     withContext(Dispatchers.IO) {
         PlainHttpClient("http://${upstream.address}", 5.seconds).use { client ->
-            client.send(submit()).use { exchange ->
+            client.send(request).use { exchange ->
                 withTimeout(10.seconds) {
                     buildList {
                         do {
@@ -44,8 +48,12 @@
         }
     }
 
-/** What a call of the control plane makes of the response of [upstream]. */
-internal suspend fun controlCall(upstream: ScriptedUpstream): Either<HttpCallFailure, HttpCallResponse> {
+/** What a call of the control plane with [body] makes of the response of [upstream]. */
+internal suspend fun controlCall(
+    upstream: ScriptedUpstream,
+    body: ByteArray? = null,
+): Either<HttpCallFailure, HttpCallResponse> {
     val runtime = GatewayRuntime()
-    return withContext(runtime.dispatcher) { runtime.calls.call(upstream.address, "GET", "/api/get", 5.seconds) }
+    val method = if (body == null) "GET" else "POST"
+    return withContext(runtime.dispatcher) { runtime.calls.call(upstream.address, method, "/api", 5.seconds, body) }
 }
