Pass on no status of an agent that is not from 200 to 599

Callers on the agents' path: an entry passed on whatever status an agent reported: 600 and 999 with the body, 100 and 199 without, and below 100 or with four digits a status line that clients cannot read.

Change: an attempt whose agent reports a status that is not from 200 to 599 is cancelled and counts as lost: 502 "outcome unknown", or another attempt where the request may be repeated.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/entry/RequestRun.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/entry/RequestRun.kt
@@ -35,6 +35,9 @@
 /** Number of chunks between two acknowledgements to the agent. */
 private const val ACK_INTERVAL_CHUNKS = CHUNK_WINDOW / 4
 
+/** Statuses of a response that is not informational (RFC 9110, section 15). */
+private val FINAL_STATUSES = 200..599
+
 /** A part of a response; the last one is [End] or [Error]. */
 internal sealed interface ResponsePart {
     data class Head(
@@ -197,7 +200,8 @@
     private fun handleStarted(message: Message.Started): DispatchAction {
         isAccepted = true
         mayHaveRun = true
-        if (isHeadSent && message.status != head?.status) {
+        val isOfOtherHead = isHeadSent && message.status != head?.status
+        if (message.status !in FINAL_STATUSES || isOfOtherHead) {
             cancelOffer()
             return handleLost()
         }
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/Site.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/Site.kt
@@ -36,12 +36,14 @@
 import io.teaselspring.daemon.entry.OutcomeStore
 import io.teaselspring.daemon.link.LinkContext
 import io.teaselspring.daemon.link.LinkIdentity
+import io.teaselspring.daemon.link.listenForLinks
 import io.teaselspring.daemon.settings.AgentSettings
 import io.teaselspring.daemon.settings.RequestLimits
 import io.teaselspring.daemon.settings.Settings
 import io.teaselspring.daemon.settings.SiteAddresses
 import io.teaselspring.daemon.usage.NoUsage
 import io.teaselspring.daemon.usage.UsageRecorder
+import io.teaselspring.protocol.Message
 import io.teaselspring.protocol.Role
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -126,6 +128,7 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val agents = mutableListOf<RunningAgent>()
     private val upstreams = mutableSetOf<FakeUpstream>()
+    private val scriptedAgents = mutableListOf<String>()
     lateinit var entry: Entry
         private set
     lateinit var url: String
@@ -159,6 +162,17 @@
         return RunningAgent(agent, agent.start("127.0.0.1:0"), agentScope).also { agents += it }
     }
 
+    /** Starts an agent of the plain service that answers each request with the messages that [script] returns. */
+    suspend fun scriptedAgent(script: (Message.Submit) -> List<Message>) {
+        val links = links("scripted-${scriptedAgents.size}", Role.AGENT, plain, emptyList())
+        val listener =
+            scope.listenForLinks(links, "127.0.0.1:0") { link ->
+                link.send(Message.Load(0, 0, 4, null, 0, 0, draining = false, configVersion = 1))
+                link.incoming.collect { if (it is Message.Submit) script(it).forEach { answer -> link.send(answer) } }
+            }
+        scriptedAgents += listener.address
+    }
+
     suspend fun start() {
         val settings =
             Settings(
@@ -179,14 +193,14 @@
         val parts =
             EntryDependencies(
                 config,
-                directory = { agents.map { it.address } },
+                directory = { agents.map { it.address } + scriptedAgents },
                 outcomes = outcomes,
                 random = Random(7),
                 drainNotice = 50.milliseconds,
             )
         entry = Entry(scope, settings, links("entry-1", Role.ENTRY, null, emptyList()), parts)
         url = "http://" + entry.start().callers
-        eventually { entry.summary().agents.size shouldBe agents.size }
+        eventually { entry.summary().agents.size shouldBe agents.size + scriptedAgents.size }
         // The first health probe of a cold process may time out, and until it succeeds the agent refuses.
         eventually { agents.all { it.agent.isReachable } shouldBe true }
     }
