Check only decoded HTTP objects for a malformed line

After a 101 the decoder passes the bytes on as they are, and the cast of FieldLineCheck's caller would have failed on them. The case ended with 502 before, and does after; it is now a test. Trailers that arrive byte by byte are tested too.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
@@ -228,8 +228,9 @@
         ctx: ChannelHandlerContext,
         event: Any,
     ) {
-        val isInsideResponse = currentHead != null
-        if (event is ChannelInputShutdownEvent && isInsideResponse) close()
+        // The other side stays open only for a response that ends with this one.
+        val hasEnded = currentHead == null
+        if (event is ChannelInputShutdownEvent && !hasEnded) close()
     }
 
     private fun addBehind(bytes: ByteBuf) {
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/ResponseDecoder.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/ResponseDecoder.kt
@@ -190,7 +190,7 @@
             isAtStart = false
             hasStatusLineInside = false
         }
-        val isFailed = out.any { (it as HttpObject).decoderResult().isFailure }
+        val isFailed = out.any { it is HttpObject && it.decoderResult().isFailure }
         if (!isFailed && !fieldLines.accepts(buffer, start, out)) replaceByFailure(out)
         if (out.lastOrNull() is LastHttpContent) isAtStart = true
     }
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/http/FieldLineTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/http/FieldLineTest.kt
@@ -117,18 +117,23 @@
             }
         }
 
-        test("a head that arrives byte by byte is checked as a whole one") {
+        test("a response that arrives byte by byte is checked like a whole one") {
             listOf("X-Tra: v" to "HTTP/1.1 200 ", " X-Tra: v" to "HTTP/1.1 502 ").forEach { (line, expected) ->
-                val instance =
-                    ScriptedUpstream { request, output ->
-                        responseWith(line, request.header(REQUEST_ID_HEADER)).forEach {
-                            output.write(it.code)
-                            output.flush()
-                            Thread.sleep(1)
+                listOf(
+                    { id: String? -> responseWith(line, id) },
+                    { id: String? -> trailersWith(line, id, isFirst = false) },
+                ).forEach { response ->
+                    val instance =
+                        ScriptedUpstream { request, output ->
+                            response(request.header(REQUEST_ID_HEADER)).forEach {
+                                output.write(it.code)
+                                output.flush()
+                                Thread.sleep(1)
+                            }
+                            ConnectionAction.CLOSE
                         }
-                        ConnectionAction.CLOSE
-                    }
-                withGateway(instance) { withClue(line) { call(ORDER) shouldStartWith expected } }
+                    withGateway(instance) { withClue(line) { call(ORDER) shouldStartWith expected } }
+                }
             }
         }
 
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/http/StatusLineTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/http/StatusLineTest.kt
@@ -83,6 +83,13 @@
             }
         }
 
+        test("bytes that follow a change of the protocol are no answer") {
+            val head = "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n"
+            withGateway(
+                upstreamWriting { head + response("200 OK", it) },
+            ) { call(ORDER) shouldStartWith "HTTP/1.1 502 " }
+        }
+
         // A number that is parsed leniently makes a refusal of what is none, and the request would run twice.
         test("a request is not sent again after a refusal whose status line is malformed") {
             listOf("0503 Full", "+503 Full", "0421 Other", "0429 Full").forEach { status ->
