Call until the breaking instance has been chosen in TruncatedStreamTest

The choice between two idle instances is random, so that happens once in 4,096 runs of a test, and ten tests of the file rely on it.

The requests have no body, so they do not take the path of the check for a reset.

Change: the tests go on after 12 calls until the instance has had a request, 100 at most, and check every response as before. The instance still has to be chosen.

--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/TruncatedStreamTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/TruncatedStreamTest.kt
@@ -102,8 +102,7 @@
                     }
                 val breaking = untilClose(*case.pieces)
                 withGateway(breaking, resuming) {
-                    // The choice of the first instance is random.
-                    repeat(12) {
+                    breaking.shouldBeChosenWhile {
                         val response = call(RESUMED)
                         withClue(response) {
                             Regex("data: a").findAll(response).count() shouldBe 1
@@ -111,7 +110,6 @@
                             response shouldEndWith LAST_CHUNK
                         }
                     }
-                    breaking.requests.value.size shouldBeGreaterThan 0
                 }
             }
         }
@@ -121,8 +119,7 @@
             val breaking = untilClose("id: 1\ndata: a\n\nid: 2\nda")
             val silent = untilClose()
             withGateway(breaking, silent) {
-                repeat(12) { call(RESUMED).isEndedByLastChunk() shouldBe false }
-                breaking.requests.value.size shouldBeGreaterThan 0
+                breaking.shouldBeChosenWhile { call(RESUMED).isEndedByLastChunk() shouldBe false }
             }
         }
 
@@ -211,6 +208,19 @@
         }
     })
 
+/** Makes a [call] 12 times, and again until this instance has got a request: the choice of the first one is random. */
+private fun ScriptedUpstream.shouldBeChosenWhile(call: () -> Unit) {
+    var calls = 0
+    while (calls < 12 || requests.value.isEmpty() && calls < MAX_CALLS) {
+        call()
+        calls += 1
+    }
+    requests.value.size shouldBeGreaterThan 0
+}
+
+/** Calls among which an instance that gets every second one is chosen with all but certainty. */
+private const val MAX_CALLS = 100
+
 /** Requests sent to an instance that always breaks off, while it is ejected for longer after each failure. */
 private const val MAX_TO_BREAKING = 8
 
