Test malformed heads in place of a late copy

A late copy of an earlier response is skipped by the id that its head states. A malformed head states nothing that can be relied on, so it is not skipped: the exchange is broken, and the connection is not used again. Nothing in the product changes.

--- a/daemon/src/test/kotlin/io/teaselspring/daemon/http/FieldLineTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/http/FieldLineTest.kt
@@ -15,6 +15,7 @@
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.teaselspring.daemon.agent.PlainEvent
 import io.teaselspring.daemon.agent.UpstreamClient
+import io.teaselspring.daemon.eventually
 import io.teaselspring.daemon.gateway.ConnectionAction
 import io.teaselspring.daemon.gateway.ORDER
 import io.teaselspring.daemon.gateway.PLAIN
@@ -156,6 +157,17 @@
             }
         }
 
+        test("a late copy with a malformed head is not skipped, and its exchange is broken") {
+            listOf("X-Tra : v", "Content-Length : 2", " X-Tra: v").forEach {
+                withGateway(upstreamWithLateCopy { id -> responseWith(it, id) }) {
+                    call(PLAIN, id = "e1") shouldEndWith "done"
+                    val text = call(ORDER, id = "r1")
+                    withClue("$it: $text") { text shouldStartWith "HTTP/1.1 502 " }
+                    eventually { call(PLAIN, id = "r2") shouldEndWith "done" }
+                }
+            }
+        }
+
         test("a health check with a malformed line is no success") {
             upstreamWriting { responseWith("X-Tra : v", it) }.use { upstream ->
                 UpstreamClient("http://${upstream.address}", 5.seconds, 5.seconds).use {
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/http/MalformedResponses.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/http/MalformedResponses.kt
@@ -12,10 +12,13 @@
 import io.teaselspring.daemon.gateway.HttpCallFailure
 import io.teaselspring.daemon.gateway.HttpCallResponse
 import io.teaselspring.daemon.gateway.ScriptedUpstream
+import io.teaselspring.daemon.gateway.respond
 import io.teaselspring.protocol.Message
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeout
+import java.io.OutputStream
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.seconds
 
 /** An upstream that answers with the Latin-1 text that [response] returns for the id of a request, and closes. */
@@ -26,6 +29,20 @@
         ConnectionAction.CLOSE
     }
 
+/**
+ * An upstream that keeps its connections. It writes [malformed] with the id of the request before, as a late copy, in
+ * front of each response but the first on a connection.
+ */
+internal fun upstreamWithLateCopy(malformed: (id: String) -> String): ScriptedUpstream {
+    val earlier = ConcurrentHashMap<OutputStream, String>()
+    return ScriptedUpstream { request, output ->
+        val before = earlier.put(output, checkNotNull(request.header(REQUEST_ID_HEADER)))
+        before?.let { output.write(malformed(it).toByteArray(Charsets.ISO_8859_1)) }
+        output.respond(request)
+        ConnectionAction.KEEP
+    }
+}
+
 /** This text with all but printable ASCII characters as \\xNN, for names of tests. */
 internal fun String.visible() = map { if (it in ' '..'~') "$it" else "\\x%02x".format(it.code) }.joinToString("")
 
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/http/StatusLineTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/http/StatusLineTest.kt
@@ -15,6 +15,7 @@
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.teaselspring.daemon.agent.PlainEvent
 import io.teaselspring.daemon.agent.UpstreamClient
+import io.teaselspring.daemon.eventually
 import io.teaselspring.daemon.gateway.ConnectionAction
 import io.teaselspring.daemon.gateway.ORDER
 import io.teaselspring.daemon.gateway.PLAIN
@@ -123,6 +124,17 @@
             }
         }
 
+        test("a late copy with a malformed head is not skipped, and its exchange is broken") {
+            listOf("000", "0200 OK", "0503 Full", "999 High").forEach {
+                withGateway(upstreamWithLateCopy { id -> response(it, id, "X-Not-Run: 1\r\nX-Leaving: 1\r\n") }) {
+                    call(PLAIN, id = "e1") shouldEndWith "done"
+                    val text = call(ORDER, id = "r1")
+                    withClue("$it: $text") { text shouldStartWith "HTTP/1.1 502 " }
+                    eventually { call(PLAIN, id = "r2") shouldEndWith "done" }
+                }
+            }
+        }
+
         test("a health check whose status line is malformed is no success") {
             upstreamWriting { response("0200 OK", it) }.use { upstream ->
                 UpstreamClient("http://${upstream.address}", 5.seconds, 5.seconds).use {
