--- /dev/null
+++ b/review/lib-3/src/Uploads.java
@@ -0,0 +1,138 @@
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/** Many callers upload bodies at the same time, in packets of usual size, while others send small bookings. */
+final class Uploads {
+    static final int UPLOADERS = Integer.getInteger("uploaders", 60);
+    static final int BODY_BYTES = Integer.getInteger("body", 300_000);
+    static final int PACKET_BYTES = Integer.getInteger("packet", 1_448);
+    static final int PAUSE_MS = Integer.getInteger("pause", 10);
+    static final int ROUNDS = Integer.getInteger("rounds", 1);
+    static final int CALLERS = 8;
+    static final int TIMEOUT_MS = 1_000;
+    static final int LIMIT_MS = 4_000;
+    private static final Map<String, Integer> uploads = new TreeMap<>();
+    private static int sent;
+    private static int lateAtTimeout;
+    private static int lateAfterSlack;
+    private static final Map<String, Integer> answers = new TreeMap<>();
+
+    public static void main(String[] args) {
+        Site.main(Path.of(args[0]), Uploads::play);
+    }
+
+    static boolean play() throws Exception {
+        Site site = new Site();
+        site.engine("i-1", (request, channel) -> {
+            Thread.sleep(20);
+            Http.respond(channel, 200, Site.answerHeaders(request) + Site.seal(request) + "Content-Type: text/plain\r\n", "done");
+            return true;
+        });
+        site.config(7, List.of(Site.route("r-1", "/reservas/", "non_idempotent", TIMEOUT_MS), Site.route("r-2", "/rutas/", "safe", 20_000)),
+            Site.limits(16_384, 4_194_304), Site.tenants());
+        Site.Entry entry = site.start("front-oviedo-1");
+        AtomicBoolean ended = new AtomicBoolean();
+        List<Thread> callers = new ArrayList<>();
+        for (int i = 0; i < CALLERS; i++) {
+            int number = i;
+            callers.add(Http.thread(() -> book(entry, number, ended)));
+        }
+        Thread.sleep(3_000);
+        // Without the burst as many callers upload, but four at a time.
+        int together = Site.TROUBLE ? UPLOADERS : 4;
+        Record.line(UPLOADERS + " callers upload " + BODY_BYTES + " bytes each, " + together + " at a time");
+        List<Thread> uploaders = new ArrayList<>();
+        for (int i = 0; i < together; i++) {
+            int first = i;
+            uploaders.add(Http.thread(() -> {
+                for (int number = first; number < UPLOADERS * ROUNDS; number += together) upload(entry, number);
+            }));
+        }
+        for (Thread uploader : uploaders) uploader.join(45_000);
+        Thread.sleep(3_000);
+        ended.set(true);
+        for (Thread caller : callers) caller.join(LIMIT_MS + 2_000);
+        synchronized (uploads) {
+            Record.line("uploads: " + uploads);
+        }
+        synchronized (answers) {
+            Record.line(sent + " bookings sent, answers " + answers);
+            Record.line(lateAtTimeout + " bookings had no answer at the route's timeout_ms, " + lateAfterSlack + " of them none half a second later");
+        }
+        Record.line("the entry is " + (entry.process.isAlive() ? "running" : "gone") + ", ready: " + Site.isReady(entry));
+        site.close();
+        return !(lateAfterSlack >= 8 && lateAfterSlack * 2 > lateAtTimeout);
+    }
+
+    /** Sends bookings on kept channels until [ended]; notes when each is answered. */
+    private static void book(Site.Entry entry, int caller, AtomicBoolean ended) throws Exception {
+        Socket socket = null;
+        for (int number = 0; !ended.get(); number++) {
+            String id = "b" + caller + "-" + number;
+            byte[] body = "{\"places\":2}".getBytes();
+            long startNanos = System.nanoTime();
+            String result;
+            try {
+                if (socket == null) socket = Http.connect(entry.port);
+                socket.setSoTimeout(LIMIT_MS);
+                startNanos = System.nanoTime();
+                socket.getOutputStream().write((Site.request("POST", "/reservas/nueva", id, LIMIT_MS, body.length) + new String(body)).getBytes());
+                Http.Message answer = Http.read(socket.getInputStream());
+                result = answer == null ? "channel closed" : Integer.toString(answer.status());
+                if (answer == null || "close".equals(answer.headers.get("connection"))) {
+                    socket.close();
+                    socket = null;
+                }
+            } catch (IOException e) {
+                result = e instanceof java.net.SocketTimeoutException ? "none in the time limit" : "channel reset";
+                if (socket != null) socket.close();
+                socket = null;
+            }
+            long ms = (System.nanoTime() - startNanos) / 1_000_000;
+            synchronized (answers) {
+                sent++;
+                answers.merge(result, 1, Integer::sum);
+                if (ms > TIMEOUT_MS) lateAtTimeout++;
+                if (ms > TIMEOUT_MS + 500) {
+                    lateAfterSlack++;
+                    Record.line("booking " + id + ": " + result + " after " + ms + " ms");
+                }
+            }
+            Thread.sleep(100);
+        }
+    }
+
+    private static void upload(Site.Entry entry, int number) throws Exception {
+        String result;
+        try (Socket socket = Http.connect(entry.port)) {
+            socket.setSoTimeout(30_000);
+            OutputStream out = socket.getOutputStream();
+            out.write(Site.request("POST", "/rutas/larga", "u" + number, 20_000, BODY_BYTES).getBytes());
+            byte[] packet = new byte[PACKET_BYTES];
+            boolean isWhole = true;
+            try {
+                for (int at = 0; at < BODY_BYTES; at += PACKET_BYTES) {
+                    out.write(packet, 0, Math.min(PACKET_BYTES, BODY_BYTES - at));
+                    Thread.sleep(PAUSE_MS);
+                }
+            } catch (IOException e) {
+                isWhole = false;
+            }
+            Http.Message answer = Http.read(socket.getInputStream());
+            result = answer == null ? "channel closed" : answer.status() + "";
+            if (!isWhole) result += " before the whole body was sent";
+        } catch (IOException e) {
+            result = "channel reset";
+        }
+        synchronized (uploads) {
+            uploads.merge(result, 1, Integer::sum);
+        }
+    }
+}
