--- a/review/lib-3/src/Uploads.java
+++ b/review/lib-3/src/Uploads.java
@@ -13,6 +13,8 @@
     static final int UPLOADERS = Integer.getInteger("uploaders", 60);
     static final int BODY_BYTES = Integer.getInteger("body", 300_000);
     static final int PACKET_BYTES = Integer.getInteger("packet", 1_448);
+    static final int TOGETHER = Integer.getInteger("together", 12);
+    static final int SINGLE = Integer.getInteger("single", 4);
     static final int PAUSE_MS = Integer.getInteger("pause", 10);
     static final int ROUNDS = Integer.getInteger("rounds", 1);
     static final int CALLERS = 8;
@@ -115,11 +117,14 @@
             socket.setSoTimeout(30_000);
             OutputStream out = socket.getOutputStream();
             out.write(Site.request("POST", "/rutas/larga", "u" + number, 20_000, BODY_BYTES).getBytes());
-            byte[] packet = new byte[PACKET_BYTES];
+            byte[] packet = new byte[TOGETHER * PACKET_BYTES];
             boolean isWhole = true;
             try {
-                for (int at = 0; at < BODY_BYTES; at += PACKET_BYTES) {
-                    out.write(packet, 0, Math.min(PACKET_BYTES, BODY_BYTES - at));
+                // As a line delivers them: some packets one by one, then a few that come together.
+                for (int at = 0, step = 0; at < BODY_BYTES; step++) {
+                    int count = Math.min(step % SINGLE == 0 ? TOGETHER * PACKET_BYTES : PACKET_BYTES, BODY_BYTES - at);
+                    out.write(packet, 0, count);
+                    at += count;
                     Thread.sleep(PAUSE_MS);
                 }
             } catch (IOException e) {
