--- a/review/lib-3/src/Store.java
+++ b/review/lib-3/src/Store.java
@@ -35,6 +35,13 @@
         return version;
     }
 
+    /** Removes a row as the operator, an engine or the platform does. */
+    synchronized void remove(String table, String key) {
+        version += 1;
+        set(table, key, null, true);
+        notifyAll();
+    }
+
     private void set(String table, String key, String value, boolean isDeleted) {
         Row row = new Row();
         row.value = value;
