Wait for the accept thread when a scripted upstream is closed

CrashQuarantineTest failed once in a whole run: 3 requests with a crashing part instead of 2. Its stand-in "crashes" by closing its listener. ServerSocket.close() returns while the thread in accept() may not have woken, and until then the port accepts connections. The entry checks after a broken response whether the instance still listens, finds that it does, and does not count the crash.

close() now waits for the accept thread. That this was the cause of the failed run stays the likely explanation; no failing run shows it.

--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/ScriptedUpstream.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/ScriptedUpstream.kt
@@ -54,14 +54,13 @@
     /** "IP:port". */
     val address: String = "127.0.0.1:${listener.localPort}"
 
-    init {
+    private val accepting =
         thread(isDaemon = true) {
             while (true) {
                 val socket = runCatching { listener.accept() }.getOrNull() ?: break
                 thread(isDaemon = true) { runCatching { socket.use(::serve) } }
             }
         }
-    }
 
     private fun serve(socket: Socket) {
         val input = socket.getInputStream().let { if (readsBodies) it.buffered() else it }
@@ -112,8 +111,10 @@
         }
     }
 
+    /** Stops listening. The port accepts connections until the thread in `accept` has returned, so waits for it. */
     override fun close() {
         listener.close()
+        accepting.join()
     }
 }
 
