--- a/core/src/main/kotlin/io/teaselspring/core/registry/InstanceRegistry.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/registry/InstanceRegistry.kt
@@ -17,7 +17,7 @@
 /**
  * An upstream instance. [startedAtMs] distinguishes restarts under one id; null if unknown. [warmUpLeftMs] is the time
  * for which it stays cold after the row was written, 0 if it is warm; null if it does not say. [sequence] rises with
- * each row that the process writes; null if unknown.
+ * each row that the process writes; null if unknown. [version] is that of its software, empty if the row does not say.
  */
 public data class RegisteredInstance(
     val id: InstanceId,
@@ -29,6 +29,7 @@
     val startedAtMs: Long?,
     val warmUpLeftMs: Long? = null,
     val sequence: Long? = null,
+    val version: String = "",
 )
 
 /** A change of one instance from [before] to [now]; null where the registry does not list it. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HeaderNames.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/HeaderNames.kt
@@ -7,7 +7,8 @@
 
 /**
  * Header names. [tokenCount] states the prompt tokens and the most output tokens of a request, "P,O", and [lengthHint]
- * the caller's estimate of its output tokens. Headers in [systemOnly] are set by the system only and never forwarded
+ * the caller's estimate of its output tokens. [resumes] names the request that brought the first event of a stream that
+ * its caller resumes. Headers in [systemOnly] are set by the system only and never forwarded
  * from a caller; those in [perConnection] are hop-by-hop. All comparisons ignore case.
  */
 data class HeaderNames(
@@ -28,6 +29,7 @@
     val requestLimit: String = "X-Request-Limit",
     val leaving: String = "X-Leaving",
     val warmUpLeft: String = "X-Warm-Up-Left-Ms",
+    val resumes: String = "X-Resumes",
     val systemOnly: Set<String> = emptySet(),
 ) {
     /** Lower-case names that are not copied from a caller's request to an upstream. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -307,6 +307,5 @@
 
     private companion object {
         const val MAX_PRIORITY_VALUE = 9
-        const val LAST_EVENT_ID = "Last-Event-Id"
     }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
@@ -11,6 +11,9 @@
 import io.teaselspring.core.registry.Availability
 import io.teaselspring.core.routing.RouteKind
 
+/** Header of a request for the rest of a stream after an event. */
+internal const val LAST_EVENT_ID = "Last-Event-Id"
+
 /** The attempts of one request. */
 internal class RequestAttempts {
     private val instances = LinkedHashSet<InstanceId>()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -165,7 +165,14 @@
             gateway.metrics.dispatched(authorised.route.name, waitedMs.milliseconds)
             queued?.dispatched()
         }
-        gateway.logDispatch(requestId, authorised, instance, DispatchedPrompt(sharedParts, uncachedTokens), waitedMs)
+        gateway.logDispatch(
+            requestId,
+            authorised,
+            instance,
+            DispatchedPrompt(sharedParts, uncachedTokens),
+            DispatchedResumption(request.headers[names.resumes], stream.lastEventId ?: request.headers[LAST_EVENT_ID]),
+            waitedMs,
+        )
         val sent = if (attempts.tried.isEmpty()) 1L else 0L
         gateway.recordDemand(authorised, GroupDemand(sent = sent, promptTokens = uncachedTokens))
         attempts.begin(instance.registered.id)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestLog.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestLog.kt
@@ -78,21 +78,34 @@
     val uncachedTokens: Long,
 )
 
-/** Logs that the request [requestId] is offered to [instance], its [prompt], and the load that this entry knows of. */
+/** The request that began a stream and the id of the last event that its caller has; null unless it is resumed. */
+internal class DispatchedResumption(
+    val resumes: String?,
+    val afterEventId: String?,
+)
+
+/**
+ * Logs that the request [requestId] is offered to [instance], its [prompt] and [resumption], and the load that this
+ * entry knows of.
+ */
 internal fun Gateway.logDispatch(
     requestId: String,
     authorised: AuthorisedRequest,
     instance: UpstreamInstance,
     prompt: DispatchedPrompt,
+    resumption: DispatchedResumption,
     waitedMs: Long,
 ) = log.info(
-    "event=call_dispatched request={} route={} upstream={} instance={} waited_ms={} shared_parts={}" +
+    "event=call_dispatched request={} route={} upstream={} instance={} version={} resumes={} after_event_id={} waited_ms={} shared_parts={}" +
         " uncached_tokens={}" +
         " own_calls={} reported_calls={} report_age_ms={} pending_prefill_tokens={} queued={}",
     requestId,
     authorised.route.name,
     authorised.upstream,
     instance.registered.id,
+    instance.registered.version,
+    resumption.resumes,
+    resumption.afterEventId,
     waitedMs,
     prompt.sharedParts,
     prompt.uncachedTokens,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -75,10 +75,11 @@
         changes.forEach { change ->
             val now = change.now
             log.info(
-                "event=instance_changed instance={} upstream={} address={} state={}",
+                "event=instance_changed instance={} upstream={} address={} version={} state={}",
                 change.id,
                 (now ?: change.before)?.upstream,
                 (now ?: change.before)?.address,
+                (now ?: change.before)?.version,
                 stateOf(now),
             )
             val old = byId[change.id]
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
@@ -103,14 +103,25 @@
             }
     }
 
-    /** Registers [upstream] as the instance [id] in [dataCentre]. */
+    /** Registers [upstream] as the instance [id] in [dataCentre], whose software has [version]. */
     fun add(
         id: String,
         upstream: ScriptedUpstream,
         dataCentre: String = "oviedo",
+        version: String = "",
+        isDraining: Boolean = false,
     ) = instances.set(
         id,
-        RegisteredInstance(InstanceId(id), UPSTREAM, upstream.address, DataCentre(dataCentre), 64, false, 1),
+        RegisteredInstance(
+            InstanceId(id),
+            UPSTREAM,
+            upstream.address,
+            DataCentre(dataCentre),
+            64,
+            isDraining,
+            1,
+            version = version,
+        ),
     )
 
     /** The configuration of the site with [keys] for its first organisation. */
