Record begun streams sooner, and a version as left only after 4 s

Also, entries whose registry was up to 1.4 s older than that of the entry that recorded a new version took it for one that had left, and wrote the row back and forth.

The first stream after a pause is now recorded 10 ms later, with those that began meanwhile; an entry writes every 100 ms at most, all together 60 times a second. A version that serves by the row counts as left when its instances have been missing for 4 s.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SoftwareVersions.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SoftwareVersions.kt
@@ -50,6 +50,9 @@
         var stored: StoredVersions? = null
         var serving = emptySet<String>()
 
+        /** Since when versions that serve by the row have had no instance in the registry. */
+        val missingSinceMs = HashMap<String, Long>()
+
         /** Since when none of the versions that serve is recorded. */
         var unrecordedSinceMs: Long? = null
     }
@@ -77,6 +80,7 @@
             val now = serving[name].orEmpty()
             isChanged = isChanged || now != upstream.serving
             upstream.serving = now
+            upstream.missingSinceMs.keys.removeAll(now)
             if (table == null) upstream.history = upstream.history.observe(now, clocks.nowMs())
         }
         if (isChanged) onChanged()
@@ -211,11 +215,22 @@
     ): Boolean {
         val stored = upstream.stored ?: return upstream.serving.isNotEmpty()
         return stored.generation != generation.current ||
-            stored.history.serving != upstream.serving ||
+            stored.history.serving != upstream.servingByRegistry(stored.history) ||
             !stored.history.leftAtMs.keys
                 .containsAll(recent(name, upstream.history))
     }
 
+    /**
+     * The versions that serve. One that does by [history] has left only if its instances stay away: another entry may
+     * have read the registry later.
+     */
+    private fun Upstream.servingByRegistry(history: VersionHistory): Set<String> {
+        val now = clocks.nowMs()
+        val missing = history.serving - serving
+        missingSinceMs.keys.retainAll(missing)
+        return serving + missing.filter { now - missingSinceMs.getOrPut(it) { now } < MISSING_MS }
+    }
+
     private suspend fun store(name: UpstreamName): Either<PlatformError, Unit> =
         readRow(name).flatMap { (stored, rowVersion) ->
             val upstream = upstreams.getValue(name)
@@ -225,7 +240,7 @@
             // A restored store has lost what was written since its copy, and this entry may not know all of it.
             val isFirstSinceRestore = stored?.generation != generation.current && (stored != null || isRestored)
             val before = if (isFirstSinceRestore) upstream.history.withUnknown(now) else upstream.history
-            val next = StoredVersions(before.observe(upstream.serving, now), generation.current)
+            val next = StoredVersions(before.observe(upstream.servingByRegistry(before), now), generation.current)
             val key = VERSIONS_KEY_PREFIX + name
             checkNotNull(table).put(SHARED_TABLE, key, encodeVersions(next), rowVersion).fold(
                 // After a conflict the row that another entry has written is read again.
@@ -241,6 +256,9 @@
         /** Longer than a write takes while the store serves. */
         const val MAX_UNRECORDED_MS = 3_000L
 
+        /** Longer than the time between two reads of the registry. */
+        const val MISSING_MS = 4_000L
+
         /** A registry that was read earlier may no longer be what it was. */
         const val MAX_REGISTRY_AGE_MS = 3_000L
     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamRecords.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamRecords.kt
@@ -82,6 +82,7 @@
     private val expired = LinkedHashSet<String>()
     private val changed = Channel<Unit>(Channel.CONFLATED)
     private val urgent = Channel<Unit>(Channel.CONFLATED)
+    private var writtenAtMs = 0L
     private var removedAtMs = 0L
 
     /** Number of streams that this entry remembers. */
@@ -157,18 +158,22 @@
     suspend fun run(maxRetryDelay: Duration = 2.seconds): Nothing {
         while (true) {
             changed.receive()
-            var delay = interval()
+            // Streams that began at the same time share a write, also the first one after a while.
+            var delay = maxOf(interval() - sinceLastWrite(), MIN_DELAY)
             do {
                 withTimeoutOrNull(delay) { urgent.receive() }
-                delay = if (storeBatch()) interval() else minOf(delay * 2, maxRetryDelay)
+                delay = if (storeBatch()) interval() else minOf(interval() + delay * 2, maxRetryDelay)
             } while (unstored.isNotEmpty() || expired.size >= MAX_WRITES)
         }
     }
 
+    private fun sinceLastWrite() = ((storeNowMs() ?: writtenAtMs) - writtenAtMs).milliseconds
+
     private suspend fun storeBatch(): Boolean {
         val keys = unstored.take(MAX_WRITES)
         val removed = expired.take(MAX_WRITES - keys.size)
         if (keys.isEmpty() && removed.isEmpty()) return true
+        writtenAtMs = storeNowMs() ?: writtenAtMs
         val writes =
             keys.map { key ->
                 val value = recordJson.encodeToJsonElement(known.getValue(key).stream)
@@ -230,6 +235,7 @@
         /** Callers that state no time limit are taken to wait so long at most. */
         const val MAX_RESUMABLE_MS = 60_000L
         const val REMOVAL_INTERVAL_MS = 10_000L
+        val MIN_DELAY = 10.milliseconds
 
         /** By then the entry that stored a record would have removed it. */
         const val ORPHANED_MS = 60_000L
@@ -240,6 +246,6 @@
 internal fun recordInterval(entries: Int): Duration =
     maxOf(MIN_RECORD_INTERVAL, (entries * MS_PER_S / MAX_RECORD_WRITES_PER_S).milliseconds)
 
-private val MIN_RECORD_INTERVAL = 250.milliseconds
+private val MIN_RECORD_INTERVAL = 100.milliseconds
 private const val MS_PER_S = 1_000
 private const val MAX_RECORD_WRITES_PER_S = 60
