Test the records of begun streams, and write the first one at once

The tests hold that nothing is written while one version serves, that streams which began before a second version was known are recorded once it is, that records survive a restore of the store and failed writes and are removed in time, and that 5, 30 or 330 entries together write at most 60 times a second. One of them failed: an entry whose store's clock read less than the interval waited for it before its first write.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamRecords.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamRecords.kt
@@ -82,7 +82,7 @@
     private val expired = LinkedHashSet<String>()
     private val changed = Channel<Unit>(Channel.CONFLATED)
     private val urgent = Channel<Unit>(Channel.CONFLATED)
-    private var writtenAtMs = 0L
+    private var writtenAtMs: Long? = null
     private var removedAtMs = 0L
 
     /** Number of streams that this entry remembers. */
@@ -167,13 +167,16 @@
         }
     }
 
-    private fun sinceLastWrite() = ((storeNowMs() ?: writtenAtMs) - writtenAtMs).milliseconds
+    private fun sinceLastWrite(): Duration {
+        val written = writtenAtMs ?: return Duration.INFINITE
+        return ((storeNowMs() ?: written) - written).milliseconds
+    }
 
     private suspend fun storeBatch(): Boolean {
         val keys = unstored.take(MAX_WRITES)
         val removed = expired.take(MAX_WRITES - keys.size)
         if (keys.isEmpty() && removed.isEmpty()) return true
-        writtenAtMs = storeNowMs() ?: writtenAtMs
+        writtenAtMs = storeNowMs()
         val writes =
             keys.map { key ->
                 val value = recordJson.encodeToJsonElement(known.getValue(key).stream)
