--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/ScriptedUpstream.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/ScriptedUpstream.kt
@@ -21,8 +21,11 @@
     val unread: InputStream = InputStream.nullInputStream(),
 ) {
     /** The value of the header [name], or null. */
-    fun header(name: String): String? =
-        headerLines.firstOrNull { it.startsWith("$name:", ignoreCase = true) }?.substringAfter(':')?.trim()
+    fun header(name: String): String? = headers(name).firstOrNull()
+
+    /** The values of all headers [name], in order. */
+    fun headers(name: String): List<String> =
+        headerLines.filter { it.startsWith("$name:", ignoreCase = true) }.map { it.substringAfter(':').trim() }
 }
 
 /** What to do with the connection after a response; with [HALF_CLOSE] the upstream goes on reading. */
