Cut a stream that breaks off behind an event without an id

What callers saw: after an instance broke a resumable stream off, the last event came twice, or the stream from its first event. Cause: the position at which another instance continues was the last id that had been forwarded, or none. Behind an event without an id, with an empty one or with an id without a value, this is a position before that event. Change: EventPosition knows whether the last event had an id. A stream continues only at a known position, else it is cut, and its caller may resume it.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/EventFramer.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/EventFramer.kt
@@ -13,10 +13,6 @@
 ) {
     private val partial = Unpooled.buffer()
 
-    /** Id of the last complete event, null before the first. */
-    var lastEventId: String? = null
-        private set
-
     /** Length of the unfinished event. */
     val partialBytes: Int get() = partial.readableBytes()
 
@@ -32,7 +28,6 @@
         val whole = partial.readBytes(end - partial.readerIndex())
         partial.discardReadBytes()
         shrink()
-        recordLastEventId(whole)
         return whole
     }
 
@@ -47,17 +42,8 @@
         if (partial.capacity() > MAX_IDLE_CAPACITY_BYTES) partial.capacity(partialBytes)
     }
 
-    private fun recordLastEventId(events: ByteBuf) {
-        events
-            .toString(Charsets.ISO_8859_1)
-            .lineSequence()
-            .lastOrNull { it.startsWith(ID_FIELD) }
-            ?.let { lastEventId = it.removePrefix(ID_FIELD).trim() }
-    }
-
     private companion object {
         const val MAX_EVENT_BYTES = 1024 * 1024
         const val MAX_IDLE_CAPACITY_BYTES = 16 * 1024
-        const val ID_FIELD = "id:"
     }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
@@ -23,6 +23,7 @@
 ) {
     private var unsentHead: BufferedResponse? = null
     private var framer: EventFramer? = null
+    private var position: EventPosition? = null
     private var isEventStream = true
     private var eventsOfEarlierResponses = 0L
     private val boundaries = EventBoundaries()
@@ -42,7 +43,7 @@
     val isInsideEvent: Boolean get() = boundaries.isInsideEvent
 
     /** Id of the last complete event of a resumable stream. */
-    val lastEventId: String? get() = framer?.lastEventId
+    val lastEventId: String? get() = position?.lastEventId
 
     /**
      * Whether the stream may end here. An instance that crashes closes its connection, which is also how a body without
@@ -62,8 +63,8 @@
             ResponseEnd(framing, events = null, isInsideEvent = null)
         }
 
-    /** Whether an attempt may send more of the stream: before its head, or after an event of a resumable stream. */
-    val canContinue: Boolean get() = !hasBegun || framer != null
+    /** Whether an attempt may send more of the stream: before its head, or at a known position. */
+    val canContinue: Boolean get() = !hasBegun || position?.isKnown == true
 
     /** Whether a successful response with [headers] may follow what the caller has received. */
     fun isContinuedBy(headers: HttpHeaders): Boolean =
@@ -79,6 +80,7 @@
         memory.open()
         isEventStream = response.headers.statesEvents()
         framer = if (isResumable && isEventStream) EventFramer(boundaries) else null
+        position = framer?.let { EventPosition() }
     }
 
     /** Ends the stream as complete. */
@@ -92,6 +94,11 @@
         writer.writeBody(chunk, memory)
     }
 
+    private fun sendEvents(events: ByteBuf) {
+        position?.advance(events)
+        send(events)
+    }
+
     private fun sendHead() {
         val head = unsentHead ?: return
         unsentHead = null
@@ -115,7 +122,7 @@
             send(chunk.retain())
             return null
         }
-        framer.add(chunk)?.let(::send)
+        framer.add(chunk)?.let(::sendEvents)
         return when {
             framer.isOversized -> "event too large"
             !memory.keepPartial(framer.partialBytes) -> NO_MEMORY_FOR_EVENT
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/ResumedStreamTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/ResumedStreamTest.kt
@@ -124,6 +124,32 @@
             }
         }
 
+        // The next instance would send the event without an id again.
+        listOf(
+            "of which none has an id" to "data: a\n\n",
+            "of which the last has no id" to "id: 1\ndata: e1\n\ndata: a\n\n",
+            "of which the last has an empty id" to "id: 1\ndata: e1\n\nid:\ndata: a\n\n",
+            "of which the last has an id without a value" to "id: 1\ndata: e1\n\nid\ndata: a\n\n",
+        ).forEach { (name, text) ->
+            test("a stream with events $name is cut when it breaks off") {
+                val attempts =
+                    Attempts(
+                        { request, output -> output.broken(request, text) },
+                        { request, output ->
+                            val rest = if (request.header("Last-Event-Id") == "1") "" else "id: 1\ndata: e1\n\n"
+                            output.whole(request, rest + "data: a\n\nid: 3\ndata: e3\n\n")
+                        },
+                    )
+                withGateway(*attempts.instances.toTypedArray()) {
+                    val response = call(RESUMED)
+                    withClue(response) {
+                        response.data.count { it == "a" } shouldBe 1
+                        response.isComplete shouldBe false
+                    }
+                }
+            }
+        }
+
         // The ids of a stream increase by any step.
         test("a stream continues with a response whose ids leave some out") {
             val attempts =
