Continue a stream only with events that follow those forwarded

What callers saw: an instance that begins a resumed stream at its first event, or at one that the caller has, or that writes an event once more, gave its caller events twice and ids that went back, in a stream that ended as complete. Cause: a continuation was accepted by its head alone. Nothing compared its events with those before. Evidence: seven tests of ResumedStreamTest failed before: a response from the first, an earlier and the last event, each within one answer and for a caller's own Last-Event-Id, and an event that an instance repeats. Change: ids increase over a stream, so EventPosition takes an event whose id does not as one that does not follow. The events before it are forwarded, and the attempt is broken off: the stream continues at another instance after the last event, or is cut. Ids that are no numbers are compared for being the same only. Ids that are left out cannot be seen, as their steps are not stated. Measured: ResumedStreamTest 82 of 82; TruncatedStreamTest 39, StreamContinuationTest 10, SplicedResponseTest 6, StutterSoakTest 4, StreamBudgetTest 4, RequestExecutionTest 17, all passed.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
@@ -14,11 +14,12 @@
 
 /**
  * A stream that is forwarded to [writer], possibly from several instances in turn; [onBegin] precedes its head. [memory]
- * counts what is kept of it.
+ * counts what is kept of it. A caller that resumes the stream has its events up to the id [resumedAfter].
  */
 internal class ForwardedStream(
     private val writer: ResponseWriter,
     val memory: StreamShare,
+    private val resumedAfter: String?,
     private val onBegin: () -> Unit,
 ) {
     private var unsentHead: BufferedResponse? = null
@@ -80,7 +81,7 @@
         memory.open()
         isEventStream = response.headers.statesEvents()
         framer = if (isResumable && isEventStream) EventFramer(boundaries) else null
-        position = framer?.let { EventPosition() }
+        position = framer?.let { EventPosition(resumedAfter) }
     }
 
     /** Ends the stream as complete. */
@@ -94,9 +95,13 @@
         writer.writeBody(chunk, memory)
     }
 
-    private fun sendEvents(events: ByteBuf) {
-        position?.advance(events)
-        send(events)
+    /** Sends [events] up to the first one that does not follow; returns whether all do. */
+    private fun sendInOrder(events: ByteBuf): Boolean {
+        val sentBytes = position?.advance(events) ?: events.readableBytes()
+        val isInOrder = sentBytes == events.readableBytes()
+        events.writerIndex(events.readerIndex() + sentBytes)
+        if (events.isReadable) send(events) else events.release()
+        return isInOrder
     }
 
     private fun sendHead() {
@@ -109,7 +114,7 @@
 
     /**
      * Forwards [chunk], which arrived at [nowMs]; the caller keeps its ownership. Returns why the stream has to end:
-     * an event has become too large; or null.
+     * an event has become too large, or does not follow the one before it; or null.
      */
     fun forward(
         chunk: ByteBuf,
@@ -122,8 +127,9 @@
             send(chunk.retain())
             return null
         }
-        framer.add(chunk)?.let(::sendEvents)
+        val isInOrder = framer.add(chunk)?.let(::sendInOrder) ?: true
         return when {
+            !isInOrder -> "event out of order"
             framer.isOversized -> "event too large"
             !memory.keepPartial(framer.partialBytes) -> NO_MEMORY_FOR_EVENT
             else -> null
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -44,7 +44,11 @@
 
     /** The stream that the caller receives, from all attempts. */
     val stream =
-        ForwardedStream(writer, StreamShare(gateway.memory, request.organisation) { attempt?.setReading(it) }) {
+        ForwardedStream(
+            writer,
+            StreamShare(gateway.memory, request.organisation) { attempt?.setReading(it) },
+            resumedAfter = request.headers[LAST_EVENT_ID],
+        ) {
             gateway.metrics.responded(authorised.route.name, (gateway.nowMs() - arrivedMs).milliseconds)
         }
     private var isFinished = false
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/ResumedStreamTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/ResumedStreamTest.kt
@@ -150,6 +150,52 @@
             }
         }
 
+        // The instance does not heed Last-Event-Id, or sends the last event once more.
+        listOf("the beginning" to 1..5, "the last event" to 3..5, "an earlier event" to 2..5).forEach { (name, ids) ->
+            test("a stream does not continue with a response that begins at $name") {
+                val attempts =
+                    Attempts(
+                        { request, output -> output.broken(request, events(1..3)) },
+                        { request, output -> output.whole(request, events(ids)) },
+                    )
+                withGateway(*attempts.instances.toTypedArray()) {
+                    repeat(CALLS) {
+                        val response = call(RESUMED, id = "r$it")
+                        withClue(response) {
+                            response.data shouldBe listOf("e1", "e2", "e3")
+                            response.isComplete shouldBe false
+                        }
+                    }
+                }
+            }
+
+            test("a stream that its caller resumes does not continue with a response that begins at $name") {
+                val instances = List(2) { ScriptedUpstream { request, output -> output.whole(request, events(ids)) } }
+                withGateway(*instances.toTypedArray()) {
+                    repeat(CALLS) {
+                        val response = call(RESUMED, id = "r$it", headers = "Last-Event-Id: 3\r\n")
+                        withClue(response) {
+                            response.data shouldBe emptyList()
+                            response.isComplete shouldBe false
+                        }
+                    }
+                }
+            }
+        }
+
+        // An instance writes a part of its stream once more, in the same response.
+        test("an event that an instance repeats does not reach the caller twice") {
+            val attempts =
+                Attempts(
+                    { request, output -> output.whole(request, events(listOf(1, 2, 2, 3))) },
+                    { request, output -> output.whole(request, events(3..4)) },
+                )
+            withGateway(*attempts.instances.toTypedArray()) {
+                val response = call(RESUMED)
+                withClue(response) { response.data shouldBe listOf("e1", "e2", "e3", "e4") }
+            }
+        }
+
         // The ids of a stream increase by any step.
         test("a stream continues with a response whose ids leave some out") {
             val attempts =
