--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/ResumedStreamSoakTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/ResumedStreamSoakTest.kt
@@ -22,6 +22,7 @@
 private const val INSTANCES = 4
 private const val STREAMS_PER_SEED = 60
 private const val MAX_ATTEMPTS = 60
+private const val MAX_SILENCE_MS = 10_000
 private const val LAST_CHUNK = "0\r\n\r\n"
 private val seeds = 1..(System.getProperty("resumed.seeds")?.toInt() ?: 3)
 private val lineEnds = listOf("\n", "\r\n", "\r")
@@ -131,6 +132,7 @@
             val headers = "X-Stream: $stream\r\n${resume}Connection: close\r\n"
             val site = entries.random(random)
             val socket = site.connect()
+            socket.soTimeout = MAX_SILENCE_MS
             socket.getOutputStream().write(site.request(RESUMED, headers = headers, id = "$stream-$attempts"))
             add(read(socket, if (random.nextInt(4) == 0) random.nextInt(2_000) else Int.MAX_VALUE))
         }
