--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ForwardedStream.kt
@@ -14,15 +14,17 @@
 
 /**
  * A stream that is forwarded to [writer], possibly from several instances in turn; [onBegin] precedes its head. [memory]
- * counts what is kept of it.
+ * counts what is kept of it. A caller that resumes the stream has its events up to the id [resumedAfter].
  */
 internal class ForwardedStream(
     private val writer: ResponseWriter,
     val memory: StreamShare,
+    private val resumedAfter: String?,
     private val onBegin: () -> Unit,
 ) {
     private var unsentHead: BufferedResponse? = null
     private var framer: EventFramer? = null
+    private var position: EventPosition? = null
     private var isEventStream = true
     private var eventsOfEarlierResponses = 0L
     private val boundaries = EventBoundaries()
@@ -42,7 +44,7 @@
     val isInsideEvent: Boolean get() = boundaries.isInsideEvent
 
     /** Id of the last complete event of a resumable stream. */
-    val lastEventId: String? get() = framer?.lastEventId
+    val lastEventId: String? get() = position?.lastEventId
 
     /**
      * Whether the stream may end here. An instance that crashes closes its connection, which is also how a body without
@@ -62,8 +64,8 @@
             ResponseEnd(framing, events = null, isInsideEvent = null)
         }
 
-    /** Whether an attempt may send more of the stream: before its head, or after an event of a resumable stream. */
-    val canContinue: Boolean get() = !hasBegun || framer != null
+    /** Whether an attempt may send more of the stream: before its head, or at a known position. */
+    val canContinue: Boolean get() = !hasBegun || position?.isKnown == true
 
     /** Whether a successful response with [headers] may follow what the caller has received. */
     fun isContinuedBy(headers: HttpHeaders): Boolean =
@@ -79,6 +81,7 @@
         memory.open()
         isEventStream = response.headers.statesEvents()
         framer = if (isResumable && isEventStream) EventFramer(boundaries) else null
+        position = framer?.let { EventPosition(resumedAfter) }
     }
 
     /** Ends the stream as complete. */
@@ -92,6 +95,15 @@
         writer.writeBody(chunk, memory)
     }
 
+    /** Sends [events] up to the first one that does not follow; returns whether all do. */
+    private fun sendInOrder(events: ByteBuf): Boolean {
+        val sentBytes = position?.advance(events) ?: events.readableBytes()
+        val isInOrder = sentBytes == events.readableBytes()
+        events.writerIndex(events.readerIndex() + sentBytes)
+        if (events.isReadable) send(events) else events.release()
+        return isInOrder
+    }
+
     private fun sendHead() {
         val head = unsentHead ?: return
         unsentHead = null
@@ -102,7 +114,7 @@
 
     /**
      * Forwards [chunk], which arrived at [nowMs]; the caller keeps its ownership. Returns why the stream has to end:
-     * an event has become too large; or null.
+     * an event has become too large, or does not follow the one before it; or null.
      */
     fun forward(
         chunk: ByteBuf,
@@ -115,8 +127,9 @@
             send(chunk.retain())
             return null
         }
-        framer.add(chunk)?.let(::send)
+        val isInOrder = framer.add(chunk)?.let(::sendInOrder) ?: true
         return when {
+            !isInOrder -> "event out of order"
             framer.isOversized -> "event too large"
             !memory.keepPartial(framer.partialBytes) -> NO_MEMORY_FOR_EVENT
             else -> null
