--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/RollingReleaseTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/RollingReleaseTest.kt
@@ -22,7 +22,7 @@
 private const val CALLS = 20
 
 /** One caller's stream: the versions of its events, and whether its resumption went on. */
-private class CallerStream(
+private class ReleasedStream(
     val versions: Set<String>,
     val isResumed: Boolean,
     val wentOn: Boolean,
@@ -33,7 +33,7 @@
     entries: List<GatewaySite>,
     random: Random,
     id: String,
-): CallerStream {
+): ReleasedStream {
     val first = entries.random(random).call(RESUMED, id = id)
     val lastId =
         Regex("id: (\\d+)")
@@ -41,10 +41,10 @@
             .lastOrNull()
             ?.groupValues
             ?.get(1)
-    if (!first.isCut() || lastId == null) return CallerStream(first.versions(), isResumed = false, wentOn = false)
+    if (!first.isCut() || lastId == null) return ReleasedStream(first.versions(), isResumed = false, wentOn = false)
     val headers = "Last-Event-Id: $lastId\r\nX-Resumes: $id\r\n"
     val rest = entries.random(random).call(RESUMED, id = "$id-2", headers = headers)
-    return CallerStream(first.versions() + rest.versions(), isResumed = true, wentOn = "data: " in rest)
+    return ReleasedStream(first.versions() + rest.versions(), isResumed = true, wentOn = "data: " in rest)
 }
 
 class RollingReleaseTest :
@@ -57,7 +57,7 @@
                     val old = List(INSTANCES) { VersionedUpstream("v1", breaksNow = breaksNow) }
                     val registered = old.mapIndexed { index, one -> "old-$index" to one }.toTypedArray()
                     val entries = List(count) { entry(*registered) }
-                    val streams = ConcurrentLinkedQueue<CallerStream>()
+                    val streams = ConcurrentLinkedQueue<ReleasedStream>()
                     coroutineScope {
                         val callers =
                             List(CALLERS) { caller ->
