Count a version as recorded only by its row, and bound the writes of records

A time noted while no version was recorded at the start of an entry was kept, so that a version which replaced the only one, or any after a restore, counted as recorded at once; and after 3 s without a write, versions counted although the row named another one, which a resumption elsewhere then took for the only version. Now only an entry that has found no row at all for 3 s begins streams without one. Rows were written in a loop once a version had left for longer than rows keep it, if a route's timeout was over 289 s. Callers that lost their streams made an entry write without a pause; it writes at most four times as often as usual, and after a failed write waits in any case. Whether a stream may begin at a version is checked again where the request is written.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/InstanceAttempt.kt
@@ -94,6 +94,7 @@
         version = instance.registered.version
         return instance.mayStillGet(gateway.nowMs()) &&
             gateway.instances.isCurrent(instance) &&
+            gateway.mayBeginAt(instance, authorised) &&
             authorised.mayReach(instance)
     }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestAttempts.kt
@@ -98,11 +98,15 @@
     instance: UpstreamInstance,
     authorised: AuthorisedRequest,
     nowMs: Long,
-): Boolean {
-    val mustBeRecorded = authorised.restriction.onlyRecorded
-    return instance.limit.hasPermit(nowMs) &&
-        (!mustBeRecorded || streams.versions.isRecorded(authorised.upstream, instance.registered.version))
-}
+): Boolean = instance.limit.hasPermit(nowMs) && mayBeginAt(instance, authorised)
+
+/** Whether the stream of [authorised] may begin at the version of [instance], if it begins one that can be resumed. */
+internal fun Gateway.mayBeginAt(
+    instance: UpstreamInstance,
+    authorised: AuthorisedRequest,
+): Boolean =
+    !authorised.restriction.onlyRecorded ||
+        streams.versions.isRecorded(authorised.upstream, instance.registered.version)
 
 /** Whether [authorised] is restricted to some data centres, and no instance is there. */
 internal fun Gateway.isOutOfReach(authorised: AuthorisedRequest): Boolean =
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SoftwareVersions.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SoftwareVersions.kt
@@ -53,8 +53,8 @@
         /** Since when versions that serve by the row have had no instance in the registry. */
         val missingSinceMs = HashMap<String, Long>()
 
-        /** Since when none of the versions that serve is recorded. */
-        var unrecordedSinceMs: Long? = null
+        /** Since when a row has been missing, as far as it was asked for. */
+        var withoutRowSinceMs: Long? = null
     }
 
     private val upstreams = HashMap<UpstreamName, Upstream>()
@@ -107,13 +107,15 @@
             log.info("event=versions_read upstream={} versions={}", name, stored.history.leftAtMs)
         }
         upstream.stored = stored
-        if (stored != null) upstream.history = upstream.history.updatedBy(stored.history)
+        if (stored == null) return
+        upstream.withoutRowSinceMs = null
+        upstream.history = upstream.history.updatedBy(stored.history)
     }
 
     /**
      * Whether a resumable stream may begin at [version] of [name]: whoever resumes it will find the version recorded.
-     * An entry that has not read the registry for [MAX_VIEW_AGE_MS] does not know whether the others still count it. If
-     * no version that serves is recorded, because rows cannot be written, all count after [MAX_UNRECORDED_MS].
+     * An entry that has not read the registry for [MAX_VIEW_AGE_MS] does not know whether the others still count it.
+     * While there is no row at all, because it cannot be written, versions count after [MAX_UNRECORDED_MS].
      */
     fun isRecorded(
         name: UpstreamName,
@@ -124,23 +126,20 @@
             table == null -> true
             upstream == null || registryAgeMs() > MAX_VIEW_AGE_MS -> false
             else -> {
-                val recorded = upstream.stored?.takeIf { it.generation == generation.current }?.history
-                recorded?.serves(version) == true || upstream.isUnrecordedFor(MAX_UNRECORDED_MS, recorded)
+                val stored = upstream.stored
+                if (stored == null) {
+                    upstream.isWithoutRowFor(MAX_UNRECORDED_MS)
+                } else {
+                    stored.generation == generation.current && stored.history.serves(version)
+                }
             }
         }
     }
 
-    /** Whether none of the versions that serve has been in [recorded] for [durationMs]. */
-    private fun Upstream.isUnrecordedFor(
-        durationMs: Long,
-        recorded: VersionHistory?,
-    ): Boolean {
-        if (recorded != null && serving.any(recorded::serves)) {
-            unrecordedSinceMs = null
-            return false
-        }
+    /** Whether there has been no row for [durationMs]: then a resumption finds none either, and is refused. */
+    private fun Upstream.isWithoutRowFor(durationMs: Long): Boolean {
         val now = clocks.nowMs()
-        return now - (unrecordedSinceMs ?: now.also { unrecordedSinceMs = it }) >= durationMs
+        return now - (withoutRowSinceMs ?: now.also { withoutRowSinceMs = it }) >= durationMs
     }
 
     private fun registryAgeMs() = registryReadMs?.let { clocks.nowMs() - it } ?: Long.MAX_VALUE
@@ -247,6 +246,7 @@
                 { if (it is PlatformError.Conflict) Unit.right() else it.left() },
                 {
                     log.info("event=versions_stored upstream={} versions={}", name, next.history.leftAtMs)
+                    upstream.history = next.history
                     apply(mapOf(name to next)).right()
                 },
             )
@@ -270,10 +270,17 @@
  * be recorded as left too early by [MAX_LATENESS_MS], because the store may perform a write late.
  */
 internal fun resumableWithinMs(longestTimeoutMs: Long?): Long =
-    if (longestTimeoutMs == null) UNKNOWN_WINDOW_MS else longestTimeoutMs * TRIES + MAX_VIEW_AGE_MS + MAX_LATENESS_MS
+    if (longestTimeoutMs == null) {
+        UNKNOWN_WINDOW_MS
+    } else {
+        minOf(longestTimeoutMs * TRIES, MAX_RESUMABLE_MS) + MAX_VIEW_AGE_MS + MAX_LATENESS_MS
+    }
 
 /** A caller's attempts share its time limit, which may be longer than the timeout of the route. */
 private const val TRIES = 2
 private const val MAX_VIEW_AGE_MS = 15_000L
 private const val MAX_LATENESS_MS = 7_000L
+
+/** Streams are not resumed later than this; the rows keep versions for longer. */
+private const val MAX_RESUMABLE_MS = 120_000L
 private const val UNKNOWN_WINDOW_MS = 60_000L
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamRecords.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamRecords.kt
@@ -159,10 +159,17 @@
         while (true) {
             changed.receive()
             // Streams that began at the same time share a write, also the first one after a while.
-            var delay = maxOf(interval() - sinceLastWrite(), MIN_DELAY)
+            var pause = maxOf(interval() - sinceLastWrite(), MIN_DELAY)
             do {
-                withTimeoutOrNull(delay) { urgent.receive() }
-                delay = if (storeBatch()) interval() else minOf(interval() + delay * 2, maxRetryDelay)
+                withTimeoutOrNull(pause) {
+                    urgent.receive()
+                    delay(interval() / MAX_URGENT_WRITES - sinceLastWrite())
+                }
+                while (!storeBatch()) {
+                    pause = minOf(interval() + pause * 2, maxRetryDelay)
+                    delay(pause)
+                }
+                pause = interval()
             } while (unstored.isNotEmpty() || expired.size >= MAX_WRITES)
         }
     }
@@ -232,6 +239,9 @@
         /** Entries of one transaction. */
         const val MAX_WRITES = 100
 
+        /** Writes of an entry in one interval while callers lose their streams. */
+        const val MAX_URGENT_WRITES = 4
+
         /** Bounds the memory; the oldest streams are forgotten first. */
         const val MAX_STREAMS = 20_000
 
@@ -245,7 +255,10 @@
     }
 }
 
-/** Time between two writes of an entry, so that all [entries] together write at most 60 times a second. */
+/**
+ * Time between two writes of an entry, so that all [entries] together write at most 60 times a second, or 240 times
+ * while callers lose their streams.
+ */
 internal fun recordInterval(entries: Int): Duration =
     maxOf(MIN_RECORD_INTERVAL, (entries * MS_PER_S / MAX_RECORD_WRITES_PER_S).milliseconds)
 
