Let the second instance of a crash test heed Last-Event-Id

The case is about the suspected part, so the instance now continues after the event asked for, as engines do, and the test also checks that the second event arrives.

--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/CrashQuarantineTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/CrashQuarantineTest.kt
@@ -96,6 +96,7 @@
                     delay(RESPONSE_MS)
                     isReported.countDown()
                     response.await() shouldContain "\r\n0\r\n"
+                    response.await() shouldContain "id: 2\ndata: a"
                 }
             }
         }
@@ -136,8 +137,9 @@
     request: ReceivedRequest,
     output: java.io.OutputStream,
 ): ConnectionAction {
+    val after = request.header("Last-Event-Id")?.toInt() ?: 0
     output.streamHead(request)
-    output.chunk("id: 1\ndata: a\n\n")
+    output.chunk("id: ${after + 1}\ndata: a\n\n")
     output.lastChunk()
     return ConnectionAction.KEEP
 }
