--- a/model/src/test/kotlin/io/teaselspring/model/ModelChecker.kt
+++ b/model/src/test/kotlin/io/teaselspring/model/ModelChecker.kt
@@ -94,6 +94,8 @@
                 "-XX:ParallelGCThreads=3",
                 "-XX:TieredStopAtLevel=1",
                 "-Xmx1g",
+                // TLC unpacks its standard modules there, and deletes them at its end.
+                "-Djava.io.tmpdir=$directory",
                 "-cp",
                 jar.toString(),
                 "tlc2.TLC",
