Resume a stream of a split route at the upstream that began it

What callers saw: a route with several upstreams picked one at random for each attempt, also for one that resumes a stream, so a stream could hold events of two upstreams.

The key of a stream holds its upstream, so a resumption at another one looked like a stream that nobody had seen, and went on there if that upstream had one software version.

Change: the upstream of a resumable stream is picked by a hash of the id that names it, which callers send again with a resumption, so every entry picks the same one and nothing needs to be stored. An entry that saw the stream begin keeps to its upstream while the route leads there, also when the weights have changed. A route that has moved is obeyed.

Open: after a change of weights, an entry that did not see the stream begin.

--- a/core/src/main/kotlin/io/teaselspring/core/routing/RoutingConfig.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/routing/RoutingConfig.kt
@@ -8,6 +8,7 @@
 import io.teaselspring.core.OrganisationId
 import io.teaselspring.core.Region
 import io.teaselspring.core.UpstreamName
+import io.teaselspring.core.placement.mixedHash
 
 /**
  * Whether requests on a route may be repeated, and how their responses arrive. The protocol's `RequestKind` says how an
@@ -179,3 +180,16 @@
     var remaining = random(total)
     return upstreams.first { one -> (remaining < one.weight).also { remaining -= one.weight } }.upstream
 }
+
+/**
+ * Picks one of [upstreams] by weight for the stream [streamId], by a hash: any entry picks the same one when a caller
+ * resumes the stream. A change of the weights moves only as many streams as shares have changed.
+ */
+public fun pickUpstreamOf(
+    streamId: String,
+    upstreams: List<WeightedUpstream>,
+): UpstreamName? =
+    pickUpstream(upstreams) { total -> ((mixedHash(streamId) ushr HASH_SHIFT) * total ushr HASH_BITS).toInt() }
+
+private const val HASH_BITS = 31
+private const val HASH_SHIFT = Long.SIZE_BITS - HASH_BITS
--- a/core/src/test/kotlin/io/teaselspring/core/routing/RoutingConfigTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/routing/RoutingConfigTest.kt
@@ -4,6 +4,7 @@
 package io.teaselspring.core.routing
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeInRange
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.teaselspring.core.DataCentre
@@ -112,4 +113,22 @@
             val picks = (0 until 100).map { n -> pickUpstream(weighted) { n }?.value }
             picks.groupingBy { it }.eachCount() shouldBe mapOf("a" to 90, "b" to 10)
         }
+
+        // A stream must be resumed at the upstream that began it, by any entry and after most changes of the weights.
+        test("an upstream is picked for a stream by weight, and only as many streams move as shares change") {
+            fun picks(
+                a: Int,
+                b: Int,
+            ): List<String?> {
+                val weighted = listOf(WeightedUpstream(UpstreamName("a"), a), WeightedUpstream(UpstreamName("b"), b))
+                return (1..10_000).map { pickUpstreamOf("stream-$it", weighted)?.value }
+            }
+            picks(90, 10).count { it == "b" } shouldBeInRange 900..1_100
+            picks(9, 1) shouldBe picks(90, 10)
+            picks(100, 0).distinct() shouldBe listOf("a")
+            val moved = picks(90, 10).zip(picks(80, 20)).filter { (before, after) -> before != after }
+            moved.distinct() shouldBe listOf("a" to "b")
+            moved.size shouldBeInRange 900..1_100
+            pickUpstreamOf("stream-1", emptyList()) shouldBe null
+        }
     })
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/RequestExecution.kt
@@ -85,7 +85,9 @@
         config: RoutingConfig,
         decision: RoutingDecision.Allowed,
     ) {
-        val upstream = pickUpstream(decision.route.upstreams, gateway.randomBelow)
+        val upstream =
+            gateway.streams.upstreamOf(request, decision, names)
+                ?: pickUpstream(decision.route.upstreams, gateway.randomBelow)
         if (upstream == null) {
             refuse("route without upstream")
             return
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ResumableStreams.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ResumableStreams.kt
@@ -6,6 +6,8 @@
 package io.teaselspring.daemon.gateway
 
 import io.teaselspring.core.UpstreamName
+import io.teaselspring.core.routing.RoutingDecision
+import io.teaselspring.core.routing.pickUpstreamOf
 import io.teaselspring.daemon.OnTaskFailure
 import io.teaselspring.daemon.launchRestarting
 import kotlinx.coroutines.CoroutineScope
@@ -24,15 +26,38 @@
     /** Number of streams that this entry remembers. */
     val size: Int get() = records.size
 
+    /**
+     * The upstream at which the resumable stream of [request] begins or goes on: the one where this entry has seen it
+     * begin, if the route still leads there, else the one that every entry picks for the stream. Null if the route is
+     * not resumable, or if the caller does not name the stream.
+     */
+    fun upstreamOf(
+        request: IncomingRequest,
+        decision: RoutingDecision.Allowed,
+        names: HeaderNames,
+    ): UpstreamName? {
+        val route = decision.route
+        val begunBy = if (route.isResumable) begunBy(request, names) else null
+        if (begunBy == null) return null
+        val remembered =
+            route.upstreams.filter { it.weight > 0 }.takeIf { it.size > 1 }?.firstOrNull {
+                records.versionOf(streamKey(decision.organisation?.id, it.upstream, begunBy)) != null
+            }
+        return remembered?.upstream ?: pickUpstreamOf(begunBy, route.upstreams)
+    }
+
     /** The stream that [request] begins or, if its caller resumes one, goes on with; null without the caller's name. */
     fun keyOf(
         request: IncomingRequest,
         authorised: AuthorisedRequest,
         names: HeaderNames,
-    ): String? {
-        val begunBy = if (request.isResumption) request.headers[names.resumes] else request.headers[names.requestId]
-        return begunBy?.let { streamKey(authorised.organisation, authorised.upstream, it) }
-    }
+    ): String? = begunBy(request, names)?.let { streamKey(authorised.organisation, authorised.upstream, it) }
+
+    /** The id of the attempt that began the stream of [request]. */
+    private fun begunBy(
+        request: IncomingRequest,
+        names: HeaderNames,
+    ): String? = request.headers[if (request.isResumption) names.resumes else names.requestId]
 
     /** As [StreamResumptions.find]. */
     fun find(
