--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamRecords.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamRecords.kt
@@ -161,10 +161,7 @@
             // Streams that began at the same time share a write, also the first one after a while.
             var pause = maxOf(interval() - sinceLastWrite(), MIN_DELAY)
             do {
-                withTimeoutOrNull(pause) {
-                    urgent.receive()
-                    delay(interval() / MAX_URGENT_WRITES - sinceLastWrite())
-                }
+                awaitNextWrite(pause)
                 while (!storeBatch()) {
                     pause = minOf(interval() + pause * 2, maxRetryDelay)
                     delay(pause)
@@ -174,6 +171,14 @@
         }
     }
 
+    /** Waits for [pause], or less while callers lose streams that are not stored. */
+    private suspend fun awaitNextWrite(pause: Duration) {
+        withTimeoutOrNull(pause) {
+            urgent.receive()
+            delay(interval() / MAX_URGENT_WRITES - sinceLastWrite())
+        }
+    }
+
     private fun sinceLastWrite(): Duration {
         val written = writtenAtMs ?: return Duration.INFINITE
         return ((storeNowMs() ?: written) - written).milliseconds
