--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/SlowReaderTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/SlowReaderTest.kt
@@ -30,17 +30,23 @@
 private const val STEP_MS = 20L
 
 /** Reads at the pace of a slow line and returns the number of bytes until the connection ends. */
-private fun Socket.readSlowly(): Int {
-    val buffer = ByteArray((BYTES_A_SECOND * STEP_MS / 1_000).toInt())
+private fun Socket.readSlowly(
+    bytesASecond: Int = BYTES_A_SECOND,
+    slowBytes: Int = Int.MAX_VALUE,
+): Int {
+    val buffer = ByteArray((bytesASecond * STEP_MS / 1_000).toInt())
     var total = 0
     while (true) {
         val count = runCatching { getInputStream().readNBytes(buffer, 0, buffer.size) }.getOrDefault(0)
         total += count
         if (count < buffer.size) return total
-        Thread.sleep(STEP_MS)
+        if (total < slowBytes) Thread.sleep(STEP_MS)
     }
 }
 
+/** Reads so slowly that the kernel reports room in its send buffer only every few seconds; then fast, for the test. */
+private fun Socket.readBelowWakeUps() = readSlowly(bytesASecond = 300_000, slowBytes = 2_000_000)
+
 private fun largeResponses() =
     ScriptedUpstream { request, output ->
         output.respond(request, "b".repeat(BODY_BYTES))
@@ -53,24 +59,51 @@
     endProcess()
 }
 
+/** The bytes that a caller gets of a response while the entry stops. */
+private suspend fun receivedAtStop(read: Socket.() -> Int): Int {
+    val engine = largeResponses()
+    var total = 0
+    withGateway(engine, timeoutMs = 60_000, stopLimit = 1.minutes) {
+        coroutineScope {
+            connect(RECEIVE_BUFFER_BYTES).use { socket ->
+                socket.getOutputStream().write(request(PLAIN))
+                eventually { engine.requests.value.size shouldBe 1 }
+                val received = async { socket.read() }
+                drainAndEnd()
+                total = received.await()
+            }
+        }
+    }
+    return total
+}
+
+private suspend fun receivedWithIdleTimeout(
+    idleTimeoutMs: Long,
+    read: Socket.() -> Int,
+): Int {
+    var total = 0
+    val limits = CallerLimits(idleTimeoutMs = idleTimeoutMs)
+    withSite(GatewaySite(listOf(largeResponses()), timeoutMs = 60_000, limits = limits)) {
+        connect(RECEIVE_BUFFER_BYTES).use { socket ->
+            socket.getOutputStream().write(request(PLAIN))
+            total = socket.read()
+        }
+    }
+    return total
+}
+
 class SlowReaderTest :
     FunSpec({
         // A response that is cut may leave its caller without an end.
         timeout = 1.minutes.inWholeMilliseconds
 
         test("a stop waits for a caller that is still reading its response") {
-            val engine = largeResponses()
-            withGateway(engine, timeoutMs = 60_000, stopLimit = 1.minutes) {
-                coroutineScope {
-                    connect(RECEIVE_BUFFER_BYTES).use { socket ->
-                        socket.getOutputStream().write(request(PLAIN))
-                        eventually { engine.requests.value.size shouldBe 1 }
-                        val received = async { socket.readSlowly() }
-                        drainAndEnd()
-                        received.await() - BODY_BYTES shouldBeInRange HEAD_BYTES
-                    }
-                }
-            }
+            receivedAtStop { readSlowly() } - BODY_BYTES shouldBeInRange HEAD_BYTES
+        }
+
+        // An entry that waits for the kernel's report of room takes this caller for one that has stopped reading.
+        test("a stop waits for a caller that reads steadily at a fraction of the pace") {
+            receivedAtStop { readBelowWakeUps() } - BODY_BYTES shouldBeInRange HEAD_BYTES
         }
 
         test("a stop does not wait for a caller that reads nothing of its response") {
@@ -85,13 +118,12 @@
         }
 
         test("the idle timeout does not close the connection of a caller that is still reading") {
-            val limits = CallerLimits(idleTimeoutMs = 1_000)
-            withSite(GatewaySite(listOf(largeResponses()), timeoutMs = 60_000, limits = limits)) {
-                connect(RECEIVE_BUFFER_BYTES).use { socket ->
-                    socket.getOutputStream().write(request(PLAIN))
-                    socket.readSlowly() - BODY_BYTES shouldBeInRange HEAD_BYTES
-                }
-            }
+            receivedWithIdleTimeout(1_000) { readSlowly() } - BODY_BYTES shouldBeInRange HEAD_BYTES
+        }
+
+        // The same report, with the idle timeout.
+        test("the idle timeout spares a caller that reads steadily at a fraction of the pace") {
+            receivedWithIdleTimeout(2_000) { readBelowWakeUps() } - BODY_BYTES shouldBeInRange HEAD_BYTES
         }
 
         test("a request that is still running when the time of a stop runs out gets a response") {
