Ignore the last row of an instance that left when it is performed late

Callers saw: an engine that leaves without `draining` got bookings again, over `drain_ms` after the entry had read the removal of its row, and those under way when it exited were answered 502.

Cause: the store performed a report after the row's removal. It had the same `born` and the next sequence, and `InstanceRegistry` took any such row for one of an instance that had been cut from the store and is back.

Change: an instance whose row is deleted less than three report intervals after the last row that was read has left. It is listed again with the second row of a higher sequence, with a row that stands for 10 s, or with a later `born` at once. One that was silent for longer, which includes those missing after an outage of the store and its grace period, is listed again with its first row, as before.

Changed tests: the case of InstanceRegistryTest on a row after its deletion deleted the row 1 s after the last one and expected the next to bring it back, which is the fault. It now deletes it after the silence that makes it a lapsed row and expects the same. LateRowPropertyTest checks instances that left besides, and still that every other newest row is listed.

--- a/core/src/main/kotlin/io/teaselspring/core/registry/InstanceRegistry.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/registry/InstanceRegistry.kt
@@ -7,6 +7,11 @@
  * had replaced or that was deleted. Such a row is older than the newest one known of its instance, by the start of the
  * process or by the sequence of its rows; see [isOlderThan]. It is not applied, unless it stays for so long that a live
  * instance would have replaced it.
+ *
+ * The last row of an instance that left may also be performed for the first time after its deletion. An instance that
+ * left writes no further row, so one whose row was deleted within [InstanceRegistry.rowTimeoutMs] of its last one is
+ * listed again only with the second row of the same process, or with a row that lasts. One that was silent for longer
+ * may have been cut off from the registry, and is listed again with its first row.
  */
 package io.teaselspring.core.registry
 
@@ -41,20 +46,26 @@
 
 /**
  * The instances listed by the registry, and those missing from it for less than [graceMs]. [onLateRow] gets each row
- * that is older than the known one when it is first seen. Times are monotonic milliseconds. Not thread-safe.
+ * that is older than the known one, or that comes back after the instance left, when it is first seen. The registry
+ * deletes the row of an instance that has been silent for [rowTimeoutMs]. Times are monotonic milliseconds. Not
+ * thread-safe.
  */
 public class InstanceRegistry(
     private val graceMs: Long = GRACE_MS,
     private val lateRowMs: Long = LATE_ROW_MS,
+    private val rowTimeoutMs: Long = ROW_TIMEOUT_MS,
     private val onLateRow: (row: RegisteredInstance, known: RegisteredInstance) -> Unit = { _, _ -> },
 ) {
     private val instancesById = LinkedHashMap<InstanceId, RegisteredInstance>()
     private val missingSinceMs = HashMap<InstanceId, Long>()
 
+    /** When the current row of each listed instance was first read. */
+    private val reportedAtMs = HashMap<InstanceId, Long>()
+
     /** The last rows of removed instances, against which a late row is recognised. */
-    private val removedById = HashMap<InstanceId, DatedRow>()
+    private val removedById = HashMap<InstanceId, RemovedRow>()
 
-    /** Rows that were older than the known one when they were first seen, and are still in the registry. */
+    /** Rows that were not applied when they were first seen, and are still in the registry. */
     private val lateById = HashMap<InstanceId, DatedRow>()
 
     /** All instances, including missing ones in their grace period. */
@@ -62,7 +73,7 @@
 
     /**
      * Applies one row, read at [nowMs]; a null [instance] means that the row was deleted or describes no usable
-     * instance. Returns null if nothing but the sequence has changed, or if the row is older than the known one.
+     * instance. Returns null if nothing but the sequence has changed, or if the row may be a late one.
      */
     public fun update(
         id: InstanceId,
@@ -71,13 +82,13 @@
     ): RegistryChange? {
         if (instance == null) return remove(id, nowMs)
         val known = newestKnown(id)
-        if (known != null && instance.isOlderThan(known)) {
+        if (known != null && (instance.isOlderThan(known) || !isBack(instance))) {
             val seen = lateById[id]?.takeIf { it.row.startedAtMs == instance.startedAtMs }
             if (seen == null) onLateRow(instance, known)
             lateById[id] = DatedRow(instance, seen?.sinceMs ?: nowMs)
             return null
         }
-        return apply(id, instance.copy(startedAtMs = instance.startedAtMs ?: known?.startedAtMs))
+        return apply(id, instance.copy(startedAtMs = instance.startedAtMs ?: known?.startedAtMs), nowMs)
     }
 
     /**
@@ -102,8 +113,8 @@
     }
 
     /**
-     * Applies the rows that were older than the known ones and are still there at [nowMs], when the registry was read,
-     * after so long that they must be the newest: the clock of an instance may be set back between two starts.
+     * Applies the rows that counted as late and are still there at [nowMs], when the registry was read, after so long
+     * that they must be the newest: the clock of an instance may be set back between two starts.
      */
     public fun applyLastingRows(nowMs: Long): List<RegistryChange> =
         lateById
@@ -111,7 +122,7 @@
             .mapNotNull { (id, late) ->
                 val known = newestKnown(id)
                 val drains = known != null && known.isDraining && late.row.isSameProcessAs(known)
-                apply(id, late.row.copy(isDraining = late.row.isDraining || drains))
+                apply(id, late.row.copy(isDraining = late.row.isDraining || drains), nowMs)
             }
 
     /** Removes the instances whose grace period has ended at [nowMs]. */
@@ -126,14 +137,24 @@
 
     private fun newestKnown(id: InstanceId) = instancesById[id] ?: removedById[id]?.row
 
+    /** Whether [row], not older than the known one, is of an instance that has not left or is reporting again. */
+    private fun isBack(row: RegisteredInstance): Boolean {
+        val left = removedById[row.id]?.takeIf { it.hasLeft }?.row
+        if (left == null || row.isDraining || row.isOfLaterProcessThan(left)) return true
+        val first = lateById[row.id]?.row?.takeUnless { it.isOlderThan(left) }
+        return first?.isOlderThan(row) == true
+    }
+
     private fun apply(
         id: InstanceId,
         instance: RegisteredInstance,
+        nowMs: Long,
     ): RegistryChange? {
         missingSinceMs.remove(id)
         lateById.remove(id)
         removedById.remove(id)
         val before = instancesById.put(id, instance)
+        if (before != instance) reportedAtMs[id] = nowMs
         val isUnchanged = before?.copy(sequence = instance.sequence) == instance
         return if (isUnchanged) null else RegistryChange(id, before, instance)
     }
@@ -145,7 +166,8 @@
         missingSinceMs.remove(id)
         lateById.remove(id)
         val before = instancesById.remove(id) ?: return null
-        removedById[id] = DatedRow(before, nowMs)
+        val hasLeft = nowMs - (reportedAtMs.remove(id) ?: nowMs) < rowTimeoutMs
+        removedById[id] = RemovedRow(before, nowMs, hasLeft)
         return RegistryChange(id, before, null)
     }
 
@@ -154,6 +176,12 @@
         val sinceMs: Long,
     )
 
+    private class RemovedRow(
+        val row: RegisteredInstance,
+        val sinceMs: Long,
+        val hasLeft: Boolean,
+    )
+
     private companion object {
         /** Rows of live instances return within about two seconds after the registry does. */
         const val GRACE_MS = 2_000L
@@ -161,6 +189,9 @@
         /** Longer than a live instance takes to write its next row, and than the row of one that is silent stays. */
         const val LATE_ROW_MS = 10_000L
 
+        /** Three report intervals. */
+        const val ROW_TIMEOUT_MS = 3_600L
+
         /** Longer than a write can be late. */
         const val REMEMBERED_MS = 60_000L
     }
@@ -172,9 +203,8 @@
  * become ready again, whatever its sequence says.
  */
 private fun RegisteredInstance.isOlderThan(known: RegisteredInstance): Boolean {
-    val startedMs = startedAtMs
-    val knownStartedMs = known.startedAtMs
-    if (startedMs != null && knownStartedMs != null && startedMs != knownStartedMs) return startedMs < knownStartedMs
+    if (isOfLaterProcessThan(known)) return false
+    if (known.isOfLaterProcessThan(this)) return true
     val number = sequence
     val knownNumber = known.sequence
     return (number != null && knownNumber != null && number < knownNumber) || (known.isDraining && !isDraining)
@@ -182,3 +212,9 @@
 
 private fun RegisteredInstance.isSameProcessAs(other: RegisteredInstance) =
     startedAtMs != null && startedAtMs == other.startedAtMs
+
+private fun RegisteredInstance.isOfLaterProcessThan(other: RegisteredInstance): Boolean {
+    val startedMs = startedAtMs ?: return false
+    val otherStartedMs = other.startedAtMs ?: return false
+    return startedMs > otherStartedMs
+}
--- a/core/src/test/kotlin/io/teaselspring/core/registry/InstanceRegistryTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/registry/InstanceRegistryTest.kt
@@ -109,18 +109,48 @@
         }
 
         test("a row that is performed after its deletion brings nothing back, one of a live process does") {
-            val registry = InstanceRegistry()
+            val registry = InstanceRegistry(rowTimeoutMs = 3_600)
             registry.put(instance("a", sequence = 5))
-            registry.update(InstanceId("a"), null, nowMs = 1_000)
-            registry.put(instance("a", sequence = 4), nowMs = 2_000) shouldBe null
+            registry.update(InstanceId("a"), null, nowMs = 3_600)
+            registry.put(instance("a", sequence = 4), nowMs = 4_000) shouldBe null
             registry.ids() shouldBe emptyList()
-            registry.put(instance("a", sequence = 9), nowMs = 3_000)?.before shouldBe null
+            registry.put(instance("a", sequence = 9), nowMs = 5_000)?.before shouldBe null
             registry.ids() shouldContainExactly listOf("a")
 
-            registry.put(instance("a", isDraining = true, sequence = 10))
-            registry.update(InstanceId("a"), null, nowMs = 4_000)
-            registry.put(instance("a", sequence = 11), nowMs = 5_000) shouldBe null
-            registry.put(instance("a", startedAtMs = 2, sequence = 1), nowMs = 6_000)?.now?.isDraining shouldBe false
+            registry.put(instance("a", isDraining = true, sequence = 10), nowMs = 6_000)
+            registry.update(InstanceId("a"), null, nowMs = 7_000)
+            registry.put(instance("a", sequence = 11), nowMs = 8_000) shouldBe null
+            registry.put(instance("a", startedAtMs = 2, sequence = 1), nowMs = 9_000)?.now?.isDraining shouldBe false
+        }
+
+        test("an instance that left is listed again with the second row of its process or the first of a new one") {
+            listOf(4L, 5L, 6L).forEach { lateSequence ->
+                val registry = InstanceRegistry(rowTimeoutMs = 3_600)
+                registry.put(instance("a", sequence = 5))
+                registry.update(InstanceId("a"), null, nowMs = 3_599)
+                registry.put(instance("a", sequence = lateSequence), nowMs = 4_000) shouldBe null
+                registry.update(InstanceId("a"), null, nowMs = 8_000)
+                registry.put(instance("a", sequence = 7), nowMs = 9_000) shouldBe null
+                registry.ids() shouldBe emptyList()
+                registry.put(instance("a", sequence = 8), nowMs = 10_400)?.before shouldBe null
+                registry.ids() shouldContainExactly listOf("a")
+                registry.update(InstanceId("a"), null, nowMs = 11_000)
+                registry.put(instance("a", startedAtMs = 2, sequence = 1), nowMs = 11_400)?.now?.startedAtMs shouldBe 2
+            }
+        }
+
+        test("an instance that left is listed again once its row has lasted, and drains with its first row") {
+            listOf<Long?>(6, null).forEach { sequence ->
+                val registry = InstanceRegistry(lateRowMs = 10_000, rowTimeoutMs = 3_600)
+                registry.put(instance("a", sequence = 5))
+                registry.update(InstanceId("a"), null, nowMs = 1_000)
+                registry.put(instance("a", sequence = sequence), nowMs = 2_000) shouldBe null
+                registry.applyLastingRows(11_999) shouldBe emptyList()
+                registry.applyLastingRows(12_000).single().now shouldBe instance("a", sequence = sequence)
+                registry.update(InstanceId("a"), null, nowMs = 13_000)
+                registry.put(instance("a", sequence = 7, isDraining = true), nowMs = 14_000)?.before shouldBe null
+                registry.put(instance("a", sequence = 8), nowMs = 15_000) shouldBe null
+            }
         }
 
         test("a process whose clock was set back is listed once its rows have lasted longer than a late one could") {
--- a/core/src/test/kotlin/io/teaselspring/core/registry/LateRowPropertyTest.kt
+++ b/core/src/test/kotlin/io/teaselspring/core/registry/LateRowPropertyTest.kt
@@ -1,6 +1,6 @@
 /*
  * Guards against rows that the registry performs late: over random lives of one instance, none may make it available
- * again after it has been seen to drain, and none may hide a process that is available.
+ * again after it has been seen to drain or leave, and none may hide a process that is available.
  */
 package io.teaselspring.core.registry
 
@@ -16,6 +16,7 @@
 private const val HEARTBEAT_MS = 1_200L
 private const val POLL_MS = 1_400L
 private const val ROUND_TRIP_MS = 20L
+private const val ROW_TIMEOUT_MS = 3 * HEARTBEAT_MS
 private val lateMs = 1_000L..6_000L
 private val id = InstanceId("a")
 
@@ -66,14 +67,18 @@
 
 class LateRowPropertyTest :
     FunSpec({
-        test("no process becomes available again after it was seen to drain, and none stays hidden: 500 seeds") {
+        test("no process is available again after it was seen to drain or leave, and none stays hidden: 500 seeds") {
             var late = 0
             for (seed in 1..500) {
                 val random = Random(seed)
                 val writes = writes(lives = 4, random)
-                val registry = InstanceRegistry()
+                val registry = InstanceRegistry(rowTimeoutMs = ROW_TIMEOUT_MS)
                 val drained = HashSet<Long>()
                 var newest: RegisteredInstance? = null
+                var newestAtMs = 0L
+                // The last row of the newest process if it has left, and whether it has reported since.
+                var leftRow: RegisteredInstance? = null
+                var hasReported = false
                 var performed = 0
                 for (nowMs in 0..writes.last().atMs step POLL_MS) {
                     val due = writes.drop(performed).takeWhile { it.atMs <= nowMs }
@@ -83,13 +88,31 @@
                     if (last != null) {
                         val seen = last.row
                         val before = newest
+                        val wasListed = registry.instances.isNotEmpty()
                         registry.update(id, seen, nowMs)
+                        if (seen == null) {
+                            if (wasListed) leftRow = newest.takeIf { nowMs - newestAtMs < ROW_TIMEOUT_MS }
+                            hasReported = false
+                        }
                         if (seen?.isDraining == true) drained += checkNotNull(seen.startedAtMs)
-                        if (seen != null && (before == null || seen.isNewerThan(before))) newest = seen else late += 1
+                        if (seen != null && (before == null || seen.isNewerThan(before))) {
+                            val isNewProcess = before?.startedAtMs != seen.startedAtMs
+                            if (isNewProcess || hasReported || seen.isDraining) leftRow = null
+                            hasReported = true
+                            newest = seen
+                            newestAtMs = nowMs
+                        } else {
+                            late += 1
+                            if (seen != null) hasReported = leftRow?.isNewerThan(seen) == false
+                        }
                         val listed = registry.instances.singleOrNull()
                         withClue("seed $seed at $nowMs ms: $listed") {
                             if (listed != null && listed.startedAtMs in drained) listed.isDraining shouldBe true
-                            if (seen != null && seen === newest && seen.startedAtMs !in drained) listed shouldBe seen
+                            if (leftRow != null) {
+                                listed shouldBe null
+                            } else if (seen != null && seen === newest && seen.startedAtMs !in drained) {
+                                listed shouldBe seen
+                            }
                             if (seen != null && seen !== newest && listed != null) listed.slots shouldBe newest?.slots
                         }
                     }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/GatewayRuntime.kt
@@ -68,7 +68,8 @@
 /**
  * Times of an entry's control loops and its drain. The usage of a window is reported [usageGrace] after the end of the
  * window if all entries have stored their counts, and after [usagePatience] even if counts are missing. An instance
- * that lives but cannot reach the registry is listed for at least [instanceRowLifetime] more.
+ * that lives but cannot reach the registry is listed for at least [instanceRowLifetime] more,
+ * and by an available registry for [instanceRowTimeout].
  */
 data class GatewayTimes(
     val usageWindow: Duration,
@@ -76,6 +77,7 @@
     val configWait: Duration = 2.seconds,
     val registryInterval: Duration = 1_400.milliseconds,
     val instanceRowLifetime: Duration = Duration.ZERO,
+    val instanceRowTimeout: Duration = 3_600.milliseconds,
     val usageGrace: Duration = 600.milliseconds,
     val usagePatience: Duration = 7_500.milliseconds,
     val usageInterval: Duration = 1.seconds,
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/UpstreamInstances.kt
@@ -17,14 +17,15 @@
 
 private val log = LoggerFactory.getLogger("io.teaselspring.daemon.gateway")
 
-/** The instances of all upstreams, according to the registry. */
+/** The instances of all upstreams, according to the registry, which deletes rows that are [rowTimeout] old. */
 internal class UpstreamInstances(
     private val connections: HttpConnections,
     val nowMs: () -> Long,
     val limits: RequestLimits,
     val dataCentres: DataCentres,
+    rowTimeout: Duration,
 ) {
-    val registry = InstanceRegistry(onLateRow = ::logLateRow)
+    val registry = InstanceRegistry(rowTimeoutMs = rowTimeout.inWholeMilliseconds, onLateRow = ::logLateRow)
     private val byId = LinkedHashMap<InstanceId, UpstreamInstance>()
     private val byUpstream = HashMap<UpstreamName, List<UpstreamInstance>>()
     private val removedById = HashMap<InstanceId, RemovedInstance>()
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/InstanceFollowerTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/InstanceFollowerTest.kt
@@ -1,7 +1,7 @@
 /*
- * Guards against requests to an instance that has left while the connections to the registry were silent, and against
- * the loss of live instances whose rows lapsed while the registry was down. In virtual time; the bounds are those of
- * the platform's pages.
+ * Guards against requests to an instance that has left while the connections to the registry were silent or whose last
+ * rows the registry performs late, and against the loss of live instances whose rows lapsed. In virtual time; the
+ * bounds are those of the platform's pages.
  */
 package io.teaselspring.daemon.gateway
 
@@ -164,6 +164,73 @@
             }
         }
 
+        test("an instance that left gets nothing more when the registry performs its last row after the deletion") {
+            for (lateAfterMs in 100L..5_100 step 250) {
+                runTest {
+                    val followed = FollowedRegistry(this)
+                    // A live instance reports until it leaves; its last report gets no answer.
+                    for (sequence in 1L..8) {
+                        followed.table.set("a", instance("a").copy(sequence = sequence))
+                        delay(HEARTBEAT)
+                    }
+                    delay(HEARTBEAT / 2)
+                    followed.table.set("a", null)
+                    delay(1_500.milliseconds)
+                    followed.available shouldNotContain "a"
+                    delay(lateAfterMs.milliseconds)
+                    followed.table.set("a", instance("a").copy(sequence = 9))
+                    repeat(72) {
+                        delay(50.milliseconds)
+                        withClue("late by $lateAfterMs ms") { followed.available shouldNotContain "a" }
+                    }
+                    followed.table.set("a", instance("a").copy(startedAtMs = 2, sequence = 1))
+                    delay(1_500.milliseconds)
+                    followed.available shouldContain "a"
+                }
+            }
+        }
+
+        test("an instance that was cut off from the registry and is back gets requests soon") {
+            for (cutOff in listOf(2.4.seconds, 4.5.seconds, 12.seconds)) {
+                runTest {
+                    val followed = FollowedRegistry(this)
+                    followed.table.set("a", instance("a").copy(sequence = 8))
+                    delay(cutOff)
+                    followed.table.set("a", null)
+                    delay(1_500.milliseconds)
+                    followed.available shouldNotContain "a"
+                    backgroundScope.launch {
+                        for (sequence in 12L..20) {
+                            followed.table.set("a", instance("a").copy(sequence = sequence))
+                            delay(HEARTBEAT)
+                        }
+                    }
+                    delay(HEARTBEAT + 1_500.milliseconds)
+                    withClue("cut off for $cutOff") { followed.available shouldContain "a" }
+                }
+            }
+        }
+
+        test("an instance that is back after an outage and its grace period gets requests with its first row") {
+            for (outage in listOf(2.6.seconds, 8.seconds)) {
+                runTest {
+                    val followed = FollowedRegistry(this)
+                    followed.table.set("a", instance("a").copy(sequence = 8))
+                    delay(1.seconds)
+                    followed.table.isDown = true
+                    delay(outage)
+                    followed.table.set("a", null)
+                    followed.table.isDown = false
+                    // A call under way (1.5 s), the delay of the retry (at most 1.2 s) and the grace period (2 s).
+                    delay(5.seconds)
+                    followed.available shouldNotContain "a"
+                    followed.table.set("a", instance("a").copy(sequence = 14))
+                    delay(1_500.milliseconds)
+                    withClue("outage of $outage") { followed.available shouldContain "a" }
+                }
+            }
+        }
+
         test("an instance that drains gets nothing more when the registry performs an earlier row of it late") {
             for (lateAfterMs in 0L..5_600 step 700) {
                 runTest {
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/WorkTimeChecksTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/WorkTimeChecksTest.kt
@@ -49,6 +49,7 @@
                 StoreTimes({ null }, { null }),
             ),
             DataCentres(),
+            rowTimeout = 3.6.seconds,
         )
     private val checks = WorkTimeChecks(instances, names, { STATUS }, { address, _ -> status(address) })
 
