Judge requests on kept connections by the limits in force when they begin

What callers saw: after a configuration had raised max_body_bytes or max_header_bytes, kept connections still refused larger requests with 413 or 431; lowered limits and changed timeouts did not reach them either. A connection opened before the entry knew a configuration kept the built-in limits.

Cause: CallerConnections.listen read the limits once, when a connection was accepted, for its HttpServerCodec and its CallerConnection.

Change: CallerConnection takes the limits when a request begins and keeps them while it is received; between requests the timeout in force holds. Netty fixes the header limit of a decoder at construction, so RequestDecoder keeps the undecoded bytes and passes them to a decoder that it replaces between two requests once the limit has changed; pipelined bytes stay with it. The encoder is a handler of its own, since a response may be in progress at that moment; it leaves out the body of responses to HEAD, as HttpServerCodec did. A pipelined request is held to the body limit in force when its turn comes.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallerConnection.kt
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -28,12 +29,10 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
-import io.teaselspring.core.routing.CallerLimits
 
 /** One connection of a caller, on the event loop of the entry. */
 internal class CallerConnection(
     private val context: CallerConnectionContext,
-    private val limits: CallerLimits,
     private val openConnections: MutableSet<CallerConnection>,
 ) : ChannelInboundHandlerAdapter(),
     ResponseWriter {
@@ -54,6 +53,13 @@
     private var lastProgressMs = 0L
     private var hasReceivedRequest = false
 
+    /** The limits in force when the request that is being received began. */
+    private var requestLimits = context.limits()
+
+    /** Whether the response in progress is to a HEAD request. */
+    var isHeadRequest = false
+        private set
+
     private val unsent = UnsentResponse()
 
     /**
@@ -96,6 +102,7 @@
     }
 
     fun isOverdue(nowMs: Long): Boolean {
+        val limits = if (requestHead == null) context.limits() else requestLimits
         if (isResponding || unsent.isRead(channel, nowMs, limits.idleTimeoutMs)) return false
         val isReceiving = requestHead != null || !hasReceivedRequest
         return nowMs - lastProgressMs > if (isReceiving) limits.headerTimeoutMs else limits.idleTimeoutMs
@@ -140,12 +147,14 @@
     private fun beginRequest(head: HttpRequest) {
         hasReceivedRequest = true
         lastProgressMs = context.nowMs()
+        requestLimits = context.limits()
+        isHeadRequest = head.method() == HttpMethod.HEAD
         val headers = head.headers()
         val length = HttpUtil.getContentLength(head, 0L)
         when {
             !headers.stateOneFraming() || !head.uri().isPrintableAscii() -> reject(HttpResponseStatus.BAD_REQUEST)
             headers.getAll(HttpHeaderNames.HOST).size != 1 -> reject(HttpResponseStatus.BAD_REQUEST)
-            length > limits.bodyBytes -> reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+            length > requestLimits.bodyBytes -> reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
             !startShare(headers).grow(length) -> refuseForMemory(headers)
             else -> {
                 requestHead = head
@@ -165,7 +174,7 @@
     private fun appendBody(content: HttpContent) {
         val requestBody = partialBody ?: return
         lastProgressMs = context.nowMs()
-        if (requestBody.readableBytes() + content.content().readableBytes() > limits.bodyBytes) {
+        if (requestBody.readableBytes() + content.content().readableBytes() > requestLimits.bodyBytes) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
             return
         }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallerConnections.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/CallerConnections.kt
@@ -1,6 +1,6 @@
 /*
- * Listener for callers. A connection keeps the limits on header, body and idle time of the configuration that was in
- * force when it was opened.
+ * Listener for callers. The limits on the header, body and timeout of a request are those in force when it begins, on a
+ * kept connection too.
  */
 package io.teaselspring.daemon.gateway
 
@@ -12,7 +12,6 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpHeaders
-import io.netty.handler.codec.http.HttpServerCodec
 import io.teaselspring.core.OrganisationId
 import io.teaselspring.core.routing.CallerLimits
 import java.net.InetSocketAddress
@@ -50,9 +49,12 @@
                 .childHandler(
                     object : ChannelInitializer<SocketChannel>() {
                         override fun initChannel(channel: SocketChannel) {
-                            val limits = context.limits()
-                            val codec = HttpServerCodec(limits.headerBytes, limits.headerBytes, MAX_CHUNK_BYTES)
-                            channel.pipeline().addLast(codec, CallerConnection(context, limits, openConnections))
+                            val connection = CallerConnection(context, openConnections)
+                            channel.pipeline().addLast(
+                                RequestDecoder { context.limits().headerBytes },
+                                ResponseEncoder(connection::isHeadRequest),
+                                connection,
+                            )
                         }
                     },
                 ).bind(address)
@@ -77,6 +79,5 @@
 
     private companion object {
         const val BACKLOG = 1024
-        const val MAX_CHUNK_BYTES = 64 * 1024
     }
 }
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
@@ -56,7 +56,10 @@
 /** Where instances state their status; only those that state their work time are asked. */
 internal const val STATUS = "/status"
 
-/** The entry with [upstreams] as its instances. [timeoutMs] is the timeout of all routes. */
+/**
+ * The entry with [upstreams] as its instances. [timeoutMs] is the timeout of all routes. If [limits] is null, there is
+ * no configuration at first.
+ */
 class GatewaySite(
     val upstreams: List<ScriptedUpstream>,
     private val timeoutMs: Long = 5_000,
@@ -68,7 +71,7 @@
     private val startedMs: Long = System.nanoTime() / NANOS_PER_MS,
     times: GatewayTimes = GatewayTimes(usageWindow = 1.hours, stopLimit),
     memory: ByteBudget = ByteBudget.ofProcess(),
-    private val limits: CallerLimits = CallerLimits(),
+    private val limits: CallerLimits? = CallerLimits(),
 ) : AutoCloseable {
     private val storeClock = StoreClock().also { it.observe(STORE_START_MS, startClock(), startClock()) }
     private val storeGeneration = StoreGeneration()
@@ -84,7 +87,7 @@
     private val ready: InetSocketAddress
 
     init {
-        config.set("config", configOf(version = 1))
+        if (limits != null) config.set("config", configOf(version = 1))
         upstreams.forEachIndexed { index, upstream -> add("engine-$index", upstream) }
         running =
             runBlocking {
@@ -143,6 +146,7 @@
     fun configOf(
         version: Long,
         keys: Set<String> = setOf(SITE_KEY),
+        limits: CallerLimits = this.limits ?: CallerLimits(),
     ) = RoutingConfig(
         version,
         listOf(
