Refuse a body that ends with the start of another response's status line

Callers got a success with the stated length whose last bytes were the first ones of another response, such as a body that ends with "HT" or "HTTP/1.1 500 Interna", or a stream whose broken chunk went on with "HTTP".

Cause: ResponseDecoder took bytes that may begin a status line for a proof only from their twelfth byte on, where the status is complete. Fewer were decoded as body after 50 ms or at the end of the connection. So a second response that was broken off within these bytes completed the first, and one whose first bytes came 50 ms before the others was no longer recognised at all.

Change: events and JSON end with a line break, a bracket, a quote, a digit or a literal, so there any start of a status line waits for the next bytes, and the end of the connection makes the response broken. A body of text is broken if it ends inside such a start and more of it follows. A text body that ends with exactly the bytes that arrived of the second response cannot be told from one that ends with these letters.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/EmbeddedHead.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/EmbeddedHead.kt
@@ -21,13 +21,15 @@
 /**
  * What proves that a head inside a response is not quoted: its header [idHeader] states an id for which [isOwnId] is
  * true, and its first line is not [isInRequest]. With [isAnonymousProof] a head without such an id proves it too,
- * because bodies of this kind don't quote heads.
+ * because bodies of this kind don't quote heads. Unless [mayEndInStatusLine], no whole body ends with the start of a
+ * status line, as events end with a line break, and JSON with a bracket, quote, digit or literal.
  */
 internal class HeadProof(
     val idHeader: String?,
     val isOwnId: (String) -> Boolean,
     val isInRequest: (statusLine: String) -> Boolean,
     val isAnonymousProof: Boolean,
+    val mayEndInStatusLine: Boolean,
 )
 
 /** Matches the bytes of [bytes] from [start] on with the head of a response, line by line. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
@@ -173,11 +173,13 @@
     private fun headProof(): HeadProof {
         val sent = request
         val head = currentHead
+        val hasNoQuotes = head?.hasBodyWithoutQuotes() == true
         return HeadProof(
             sent?.idHeader,
             isOwnId = { it == sent?.requestId || it in earlierIds },
             isInRequest = { sent?.body?.contains(it) == true },
-            isAnonymousProof = head == null || isRefusal || head.hasBodyWithoutQuotes(),
+            isAnonymousProof = head == null || isRefusal || hasNoQuotes,
+            mayEndInStatusLine = !hasNoQuotes,
         )
     }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/ResponseDecoder.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/ResponseDecoder.kt
@@ -159,17 +159,26 @@
         ctx.executor().schedule(onTimeout, UNDECIDED_MS, TimeUnit.MILLISECONDS)
     }
 
-    /** Whether the bytes held back are the line of a status where no body quotes one. */
-    private fun isHeldProof() = held.readableBytes() >= STATUS_LINE_START_BYTES && proof().isAnonymousProof
+    /** Whether no sound body of this kind ends with the bytes held back. */
+    private fun isHeldProof(): Boolean {
+        val proof = proof()
+        return if (isHeldWhole) proof.isAnonymousProof else !proof.mayEndInStatusLine
+    }
+
+    /** Whether the bytes held back show that their first line is one of a status. */
+    private val isHeldWhole: Boolean get() = held.readableBytes() >= STATUS_LINE_START_BYTES
 
     /** Decodes what was held back, because no further bytes show that it begins another response. */
     private fun decodeHeld(ctx: ChannelHandlerContext) {
         if (!held.isReadable || isJoined) return
         heldCandidates += 1
-        if (held.readableBytes() >= STATUS_LINE_START_BYTES) hasStatusLineInside = true
+        val remainsInside = hasStatusLineInside || isHeldWhole
+        // A body that ends inside the bytes held back ends inside a status line, however short its start is.
+        hasStatusLineInside = true
         try {
             super.channelRead(ctx, held.readBytes(held.readableBytes()))
             held.clear()
+            hasStatusLineInside = remainsInside
             ctx.fireChannelReadComplete()
         } catch (e: Exception) {
             ctx.fireExceptionCaught(e)
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/SplicedResponseTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/SplicedResponseTest.kt
@@ -40,14 +40,18 @@
         RawResponse("error without an id", "400 Bad Request", "bad", echoesId = false),
     )
 
-/** The first [cut] bytes of [before] and, after [pauseMs], the whole of [after]. */
+/** The first [cut] bytes of [before] and, after [pauseMs], the first [afterCut] bytes of [after]. */
 private data class Splice(
     val route: String,
     val before: RawResponse,
     val cut: Int,
     val after: RawResponse,
     val pauseMs: Long,
+    val afterCut: Int = Int.MAX_VALUE,
 ) {
+    /** This splice with its cut in the head if the body has no framing that shows it. */
+    fun withVisibleCut() = if (before.framing == RawFraming.UNTIL_CLOSE) copy(cut = cut % before.headLength) else this
+
     /** Why a caller may not get [response], or null if it may; [ids] are of the requests of both responses. */
     fun problemOf(
         response: ReceivedResponse,
@@ -67,12 +71,31 @@
     }
 }
 
-private fun Random.splice(): Splice {
-    val before = first.random(this)
+private fun Random.splice(responses: List<RawResponse> = first): Splice {
+    val before = responses.random(this)
     val route = listOf(PLAIN, ORDER, STREAM, RESUMED).random(this)
     return Splice(route, before, nextInt(1, before.bytes("r0").size), second.random(this), listOf(0L, 5L).random(this))
 }
 
+private val failures =
+    listOf(failure, refusal).flatMap { response ->
+        listOf(RawFraming.CHUNKS, RawFraming.UNTIL_CLOSE).map { response.copy(framing = it) }
+    }
+
+private val kinds: Map<String, Random.() -> Splice> =
+    mapOf(
+        "a failure without a length" to { splice(failures) },
+        "a second response that is late" to { splice().copy(pauseMs = nextLong(10, 120)) },
+        "a second response that is broken off as well" to {
+            splice().withVisibleCut().run { copy(afterCut = nextInt(1, after.bytes("r0").size)) }
+        },
+        "an end that is replaced by a few bytes of the second response" to {
+            val splice = splice(first.filter { it.framing != RawFraming.UNTIL_CLOSE })
+            val size = splice.before.bytes("r0").size
+            splice.copy(cut = size - nextInt(1, 16), afterCut = nextInt(1, 16))
+        },
+    )
+
 private fun OutputStream.write(
     splice: Splice,
     beforeId: String?,
@@ -81,7 +104,8 @@
     write(splice.before.bytes(beforeId), 0, splice.cut)
     flush()
     if (splice.pauseMs > 0) Thread.sleep(splice.pauseMs)
-    write(splice.after.bytes(afterId))
+    val after = splice.after.bytes(afterId)
+    write(after, 0, minOf(splice.afterCut, after.size))
     flush()
 }
 
@@ -110,6 +134,28 @@
             withClue("${problems.size} of $count") { problems.shouldBeEmpty() }
         }
 
+        for ((kind, draw) in kinds) {
+            test("a response that is broken off is not completed by another one: $kind") {
+                val random = Random(seed + 3_000)
+                var splice = random.draw()
+                val instance =
+                    ScriptedUpstream { request, output ->
+                        val id = request.header("X-Request-Id")
+                        output.write(splice, id, id)
+                        ConnectionAction.CLOSE
+                    }
+                val problems = mutableListOf<String>()
+                withGateway(instance, timeoutMs = 500) {
+                    repeat(count / 6) {
+                        splice = random.draw()
+                        val response = ReceivedResponse(call(splice.route, id = "r$it"))
+                        splice.problemOf(response, isLate = false)?.let { problems += "$it $splice\n${response.text}" }
+                    }
+                }
+                withClue("${problems.size} of ${count / 6}") { problems.shouldBeEmpty() }
+            }
+        }
+
         test("a late copy that is broken off does not become a part of the next response") {
             val random = Random(seed + 1_000)
             var splice = random.splice()
@@ -157,9 +203,7 @@
             val problems = mutableListOf<String>()
             withGateway(instance, timeoutMs = 500) {
                 repeat(count) {
-                    val drawn = random.splice()
-                    val isUnframed = drawn.before.framing == RawFraming.UNTIL_CLOSE
-                    splice = if (isUnframed) drawn.copy(cut = drawn.cut % drawn.before.headLength) else drawn
+                    splice = random.splice().withVisibleCut()
                     val response = ReceivedResponse(call(splice.route, id = "r$it"))
                     splice.problemOf(response, isLate = false)?.let { problems += "$it $splice\n${response.text}" }
                 }
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/SplicedTwiceTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/SplicedTwiceTest.kt
@@ -44,20 +44,23 @@
 
 private fun ReceivedRequest.id() = header("X-Request-Id")
 
-private suspend fun ScriptedUpstream.callerShouldNotGetStatusLine(body: String = "") =
-    withGateway(this, timeoutMs = 1_500) {
-        val text = call(ORDER, body = body)
-        withClue(text) { text.substringAfter("\r\n\r\n") shouldNotContain "HTTP/1.1" }
-    }
+private suspend fun ScriptedUpstream.callerShouldNotGetStatusLine(
+    body: String = "",
+    line: String = "HTTP/1.1",
+) = withGateway(this, timeoutMs = 1_500) {
+    val text = call(ORDER, body = body)
+    withClue(text) { text.substringAfter("\r\n\r\n") shouldNotContain line }
+}
 
 class SplicedTwiceTest :
     FunSpec({
         test("a second response whose head comes in two parts, the later one after the hold, is no part of the first") {
-            val cutAt = 45
-            writing(pauseMs = 120) {
-                val second = other(it.id())
-                listOf(head(it.id()) + HALF + second.take(cutAt), second.drop(cutAt))
-            }.callerShouldNotGetStatusLine()
+            for (cutAt in listOf(1, 8, 45)) {
+                writing(pauseMs = 120) {
+                    val second = other(it.id())
+                    listOf(head(it.id()) + HALF + second.take(cutAt), second.drop(cutAt))
+                }.callerShouldNotGetStatusLine()
+            }
         }
 
         test("a second response that is broken off in its head does not complete the first") {
@@ -65,6 +68,11 @@
                 .callerShouldNotGetStatusLine()
         }
 
+        test("a body of text does not end inside the start of a status line") {
+            writing { listOf(head(it.id(), "text/plain", HALF.length + 4) + HALF + "HTTP/1.1") }
+                .callerShouldNotGetStatusLine(line = "HTTP")
+        }
+
         test("a second response that is broken off in its head is no end of a body until close") {
             writing { listOf(head(it.id(), length = null) + HALF + other(it.id()).take(45)) }
                 .callerShouldNotGetStatusLine()
