--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/SplicedResponseTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/SplicedResponseTest.kt
@@ -11,8 +11,14 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import java.io.OutputStream
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
 import kotlin.random.Random
 
 private const val NOT_RUN = "X-Not-Run: 1\r\n"
@@ -189,6 +195,38 @@
             withClue("${problems.size} of $count") { problems.shouldBeEmpty() }
         }
 
+        test("a second response that comes after its connection was given back is not the next response on it") {
+            val used = ConcurrentHashMap.newKeySet<OutputStream>()
+            val reuses = AtomicInteger()
+            val instance =
+                ScriptedUpstream { request, output ->
+                    val id = checkNotNull(request.header("X-Request-Id"))
+                    val random = Random("$seed $id".hashCode())
+                    val copy = (first + second).random(random).bytes(id)
+                    if (!used.add(output)) reuses.incrementAndGet()
+                    synchronized(output) { output.respond(request, body = "own $id") }
+                    thread(isDaemon = true) {
+                        Thread.sleep(random.nextLong(5, 60))
+                        runCatching { synchronized(output) { output.write(copy, 0, random.nextInt(1, copy.size + 1)) } }
+                    }
+                    ConnectionAction.KEEP
+                }
+            val problems = ConcurrentLinkedQueue<String>()
+            withGateway(instance, timeoutMs = 500) {
+                suspend fun callInTurn(caller: Int) =
+                    repeat(count / 12) {
+                        val id = "r$caller-$it"
+                        val response = ReceivedResponse(call(listOf(PLAIN, ORDER, STREAM, RESUMED)[it % 4], id = id))
+                        val isOwn = !response.isOfInstance || response.status == "200 OK" && response.body == "own $id"
+                        if (!isOwn || !response.hasSoundHeaders) problems += "$id ${response.text}"
+                        delay(it % 3 * 10L)
+                    }
+                coroutineScope { repeat(6) { launch { callInTurn(it) } } }
+            }
+            reuses.get() shouldBeGreaterThan count / 12
+            withClue("${problems.size} of ${count / 2}") { problems.shouldBeEmpty() }
+        }
+
         // Without a length or chunks only the head can show that the response is not whole.
         test("a response that is broken off and followed by the end of the connection is not complete") {
             val random = Random(seed + 2_000)
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/StutterSoakTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/StutterSoakTest.kt
@@ -2,7 +2,7 @@
  * Guards against responses that are joined from two, lost or given to another request, under load and changes:
  * instances stutter for good, leave, are replaced and reset, while an entry is drained, the process of another one ends
  * and configurations come. Callers use each connection until it is closed. The number of seeds is the system property
- * `soak.seeds`, the first one `soak.first`.
+ * `soak.seeds`, the first one `soak.first`, and the shares of exchanges in which instances stutter `soak.shares`.
  */
 package io.teaselspring.daemon.gateway
 
@@ -244,11 +244,12 @@
     FunSpec({
         val seeds = System.getProperty("soak.seeds")?.toInt() ?: 3
         val first = System.getProperty("soak.first")?.toInt() ?: 1
+        val shares = System.getProperty("soak.shares")?.split(',')?.map { it.toDouble() } ?: listOf(0.0, 0.1, 0.3)
         for (seed in first until first + seeds) {
             test("callers of stuttering instances get their own responses whole or an error: seed $seed") {
                 val journal = StutterJournal()
                 val newInstance = { name: String ->
-                    StutteringInstance(name, journal, seed, share = listOf(0.0, 0.1, 0.3)[name.hashCode().mod(3)])
+                    StutteringInstance(name, journal, seed, share = shares[name.hashCode().mod(shares.size)])
                 }
                 val instances = MutableList(INSTANCES) { newInstance("engine-$it") }
                 val upstreams = instances.map { it.upstream }.toTypedArray()
