Let an encoded body end with any bytes

What callers would see: a compressed JSON response whose last byte is an "H" (one in 256) counted as one that ends inside a status line: 502, or a wait until the timeout on a kept connection.

Cause: that check goes by the type of the body, but the bytes of an encoded one do not follow its grammar.

Change: it is left out for responses with Content-Encoding. The new test of SplicedTwiceTest failed before (502) and passes; the other Spliced tests and TruncatedStreamTest pass.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
@@ -179,7 +179,7 @@
             isOwnId = { it == sent?.requestId || it in earlierIds },
             isInRequest = { sent?.body?.contains(it) == true },
             isAnonymousProof = head == null || isRefusal || hasNoQuotes,
-            mayEndInStatusLine = !hasNoQuotes,
+            mayEndInStatusLine = !hasNoQuotes || head.isEncoded(),
         )
     }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/ResponseMatching.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/ResponseMatching.kt
@@ -30,6 +30,9 @@
     return TYPES_WITHOUT_QUOTES.any { type.startsWith(it, ignoreCase = true) }
 }
 
+/** Whether the body is encoded, so that it may end with any bytes whatever its type. */
+internal fun HttpResponse?.isEncoded(): Boolean = this?.headers()?.contains(HttpHeaderNames.CONTENT_ENCODING) == true
+
 /** Whether these bytes hold [text]. */
 internal fun ByteBuf.contains(text: String) =
     ByteBufUtil.indexOf(Unpooled.wrappedBuffer(text.toByteArray(Charsets.ISO_8859_1)), this) >= 0
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/SplicedTwiceTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/SplicedTwiceTest.kt
@@ -73,6 +73,19 @@
                 .callerShouldNotGetStatusLine(line = "HTTP")
         }
 
+        test("a compressed body may end with the first bytes of a status line") {
+            val sound =
+                writing {
+                    listOf(
+                        head(it.id(), "application/json\r\nContent-Encoding: br", HALF.length + 1) + HALF + "H",
+                    )
+                }
+            withGateway(sound, timeoutMs = 1_500) {
+                val text = call(ORDER)
+                withClue(text) { text.substringAfter("\r\n\r\n") shouldBe HALF + "H" }
+            }
+        }
+
         test("a second response that is broken off in its head is no end of a body until close") {
             writing { listOf(head(it.id(), length = null) + HALF + other(it.id()).take(45)) }
                 .callerShouldNotGetStatusLine()
