Close the connections of an ended entry in tests

Repeated beside other work, 1 of 10 runs of this case had all bytes but the last read of 20,097, and no end of the connection.

Cause: the fixture ends an event loop without a quiet period. If that is asked for after the loop has looked whether it is shutting down, the loop ends in the same pass and never closes its connections; a process that exits does.

Change: endProcess() gives a short quiet period, so that the loop makes one more pass.

--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/GatewaySite.kt
@@ -246,7 +246,8 @@
     suspend fun endProcess() {
         // The kernel has what was written before the process ends.
         withContext(loopDispatcher) { }
-        runtime.loop.shutdownGracefully(0, 0, TimeUnit.SECONDS).sync()
+        // Without a quiet period the loop may end before it has closed its connections.
+        runtime.loop.shutdownGracefully(50, 2_000, TimeUnit.MILLISECONDS).sync()
     }
 
     /** Whether the readiness page responds 200. */
