Simplify how the versions of an upstream are looked up

No change of behaviour: two functions of SoftwareVersions repeated two others, and a comment of ResponseDecoder was hard to follow. The tests of versions, records, resumptions and joined responses pass.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SoftwareVersions.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SoftwareVersions.kt
@@ -145,10 +145,7 @@
     private fun registryAgeMs() = registryReadMs?.let { clocks.nowMs() - it } ?: Long.MAX_VALUE
 
     /** Whether streams of [name] that can still be resumed may have begun at different versions, as far as is known. */
-    fun areSeveral(name: UpstreamName): Boolean {
-        val upstream = upstreams[name] ?: return false
-        return (recent(name, upstream.history) + upstream.serving).size > 1
-    }
+    fun areSeveral(name: UpstreamName): Boolean = knownTo(name).size > 1
 
     /** Whether any upstream has had several versions lately. */
     fun haveBeenSeveral(): Boolean = upstreams.values.any { it.history.leftAtMs.size > 1 }
@@ -157,7 +154,8 @@
     fun knownTo(name: UpstreamName): Set<String> =
         upstreams[name]?.let { recent(name, it.history) + it.serving }.orEmpty()
 
-    private fun recent(
+    /** The versions of [history], read of [name], that may have begun a stream which can be resumed. */
+    fun recent(
         name: UpstreamName,
         history: VersionHistory,
     ): Set<String> {
@@ -172,12 +170,6 @@
             stored?.takeIf { it.generation == generation.current }?.history
         }
 
-    /** The versions of [history], read of [name], that may have begun a stream which can be resumed. */
-    fun candidates(
-        name: UpstreamName,
-        history: VersionHistory,
-    ): Set<String> = recent(name, history)
-
     private suspend fun readRow(name: UpstreamName): Either<PlatformError, Pair<StoredVersions?, Long>> =
         checkNotNull(table).get(SHARED_TABLE, VERSIONS_KEY_PREFIX + name).flatMap { row ->
             (row?.let { decodeVersions(it.value.toString()) } to (row?.version ?: ABSENT)).right()
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamResumptions.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamResumptions.kt
@@ -105,9 +105,9 @@
         isRecordMissing: Boolean,
     ): ResumedVersion? {
         val onlyEver = onlyOf(history.leftAtMs.keys)
-        if (onlyEver != null || key == null) return onlyEver ?: onlyOf(versions.candidates(upstream, history))
+        if (onlyEver != null || key == null) return onlyEver ?: onlyOf(versions.recent(upstream, history))
         return (if (isRecordMissing) null else recorded(key))
-            ?: onlyOf(versions.candidates(upstream, history))
+            ?: onlyOf(versions.recent(upstream, history))
             ?: run {
                 delay(minOf(streams.interval(), MAX_RECORD_WAIT) + WRITE_TIME)
                 recorded(key)
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/ResponseDecoder.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/ResponseDecoder.kt
@@ -173,7 +173,7 @@
         if (!held.isReadable || isJoined) return
         heldCandidates += 1
         val remainsInside = hasStatusLineInside || isHeldWhole
-        // A body that ends inside the bytes held back ends inside a status line, however short its start is.
+        // They may be the first bytes of another response: a body whose end is among them is not complete.
         hasStatusLineInside = true
         try {
             super.channelRead(ctx, held.readBytes(held.readableBytes()))
