--- a/core/src/main/kotlin/io/teaselspring/core/routing/RoutingConfig.kt
+++ b/core/src/main/kotlin/io/teaselspring/core/routing/RoutingConfig.kt
@@ -183,7 +183,7 @@
 
 /**
  * Picks one of [upstreams] by weight for the stream [streamId], by a hash: any entry picks the same one when a caller
- * resumes the stream. A change of the weights moves only as many streams as shares have changed.
+ * resumes the stream. With two upstreams, a change of the weights moves only as many streams as shares have changed.
  */
 public fun pickUpstreamOf(
     streamId: String,
