Load the records of begun streams when an entry starts

Cause: the version of each was read from the store while its caller waited; a read costs an entry that has just started one more pass of its event loop. Evidence: SoftwareVersionTest, "an entry that is ready after all were killed resumes recorded streams without asking the store": failed before (503), as every lookup went to the store; passes now. Change: an entry reads all records once, if several versions count, before it is ready, for 1 s at most, and keeps them until they are orphaned.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/Gateway.kt
@@ -96,7 +96,11 @@
 
     /** Whether the load balancer should send callers to this entry. */
     val isReady: Boolean
-        get() = !isDraining && instances.isLoaded && config.ageMs().let { it != null && it < settings.readyMs }
+        get() =
+            !isDraining &&
+                instances.isLoaded &&
+                streams.isLoaded &&
+                config.ageMs().let { it != null && it < settings.readyMs }
 
     /** Records the [demand] of [request], unless the upstream has only one latency group or is not adaptive. */
     fun recordDemand(
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ResumableStreams.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/ResumableStreams.kt
@@ -9,8 +9,15 @@
 import io.teaselspring.core.routing.RoutingDecision
 import io.teaselspring.core.routing.pickUpstreamOf
 import io.teaselspring.daemon.OnTaskFailure
+import io.teaselspring.daemon.launchOnce
 import io.teaselspring.daemon.launchRestarting
+import io.teaselspring.ports.describe
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
+import kotlin.time.Duration.Companion.seconds
+
+private val log = LoggerFactory.getLogger("io.teaselspring.daemon.gateway")
 
 /** The parts of one entry, which share the store's tables if [isShared]. */
 internal class ResumableStreams(
@@ -23,6 +30,10 @@
         versions.onChanged = records::versionsChanged
     }
 
+    /** Whether the streams that other processes have recorded are known, as far as the store says in time. */
+    var isLoaded = !isShared
+        private set
+
     /** Number of streams that this entry remembers. */
     val size: Int get() = records.size
 
@@ -84,6 +95,23 @@
     /** Drops what is no longer needed. */
     fun expire() = records.expire()
 
+    /**
+     * Reads the records of earlier processes while several versions serve. Callers whose streams ended with those come
+     * at once, and a read for each of them is slow while the process is cold.
+     */
+    private suspend fun load() {
+        withTimeoutOrNull(LOAD_LIMIT) {
+            versions.awaitRows()
+            if (versions.areSeveralAnywhere()) {
+                records.load().fold(
+                    { log.warn("event=stream_records_not_loaded {}", it.describe()) },
+                    { log.info("event=stream_records_loaded streams={}", it) },
+                )
+            }
+        }
+        isLoaded = true
+    }
+
     /** Starts the tasks that write to the store. One entry at a time [isResponsible] for what others have left. */
     fun start(
         scope: CoroutineScope,
@@ -91,10 +119,16 @@
         isResponsible: () -> Boolean,
     ) {
         if (!isShared) return
+        scope.launchOnce("stream_records_load") { load() }
         scope.launchRestarting("software_versions", onTaskFailure) { versions.run() }
         scope.launchRestarting("stream_records", onTaskFailure) { records.run() }
         scope.launchRestarting("stream_record_removal", onTaskFailure) {
             records.removeOrphans({ isResponsible() && versions.haveBeenSeveral() })
         }
     }
+
+    private companion object {
+        /** An entry that waits longer to be ready costs its callers more than resumptions that ask the store. */
+        val LOAD_LIMIT = 1.seconds
+    }
 }
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SoftwareVersions.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/SoftwareVersions.kt
@@ -16,6 +16,7 @@
 import io.teaselspring.ports.PlatformError
 import io.teaselspring.ports.TableStore
 import io.teaselspring.ports.describe
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import org.slf4j.LoggerFactory
@@ -60,6 +61,7 @@
     private val upstreams = HashMap<UpstreamName, Upstream>()
     private val changed = Channel<Unit>(Channel.CONFLATED)
     private var registryReadMs: Long? = null
+    private val rowsRead = CompletableDeferred<Unit>()
 
     /** The store has come back from an older copy while this process runs. */
     private var isRestored = false
@@ -88,7 +90,13 @@
     }
 
     /** All rows of the table; those that are missing or unreadable are stored again. */
-    fun replaceAll(rows: Map<UpstreamName, StoredVersions?>) = apply(upstreams.keys.associateWith { null } + rows)
+    fun replaceAll(rows: Map<UpstreamName, StoredVersions?>) {
+        apply(upstreams.keys.associateWith { null } + rows)
+        rowsRead.complete(Unit)
+    }
+
+    /** Returns once the rows have been read. */
+    suspend fun awaitRows() = rowsRead.await()
 
     /** Applies [changes] of rows; null for one that was deleted or is unreadable. */
     fun apply(changes: Map<UpstreamName, StoredVersions?>) {
@@ -149,6 +157,9 @@
     /** Whether streams of [name] that can still be resumed may have begun at different versions, as far as is known. */
     fun areSeveral(name: UpstreamName): Boolean = knownTo(name).size > 1
 
+    /** As above, of any upstream. */
+    fun areSeveralAnywhere(): Boolean = upstreams.keys.any(::areSeveral)
+
     /** Whether any upstream has had several versions lately. */
     fun haveBeenSeveral(): Boolean = upstreams.values.any { it.history.leftAtMs.size > 1 }
 
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamRecords.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamRecords.kt
@@ -7,6 +7,7 @@
 
 import arrow.core.Either
 import arrow.core.flatMap
+import arrow.core.left
 import arrow.core.right
 import io.teaselspring.core.OrganisationId
 import io.teaselspring.core.UpstreamName
@@ -78,6 +79,9 @@
     }
 
     private val known = LinkedHashMap<String, Known>()
+
+    /** Streams that other processes had recorded when this one started. */
+    private val loaded = LinkedHashMap<String, BegunStream>()
     private val unstored = LinkedHashSet<String>()
     private val expired = LinkedHashSet<String>()
     private val changed = Channel<Unit>(Channel.CONFLATED)
@@ -86,7 +90,7 @@
     private var removedAtMs = 0L
 
     /** Number of streams that this entry remembers. */
-    val size: Int get() = known.size
+    val size: Int get() = known.size + loaded.size
 
     /** The stream [key] of [upstream] has had its first event from [version]; it can be resumed for [remainingMs]. */
     fun began(
@@ -107,8 +111,8 @@
         if (key in unstored) urgent.trySend(Unit)
     }
 
-    /** The version that began the stream [key], if this entry has seen that. */
-    fun versionOf(key: String): String? = known[key]?.stream?.version
+    /** The version that began the stream [key], if this entry has seen that or has loaded its record. */
+    fun versionOf(key: String): String? = (known[key]?.stream ?: loaded[key])?.version
 
     /** The versions of some upstreams have changed: all streams of those that have several now are to be recorded. */
     fun versionsChanged() {
@@ -142,6 +146,7 @@
     /** Forgets the streams that can no longer be resumed; their records are removed later. */
     fun expire() {
         val now = storeNowMs() ?: return
+        loaded.values.removeIf { it.isOrphaned(now) }
         known.filterValues { it.stream.untilMs < now }.keys.forEach(::forget)
         if (expired.size >= MAX_WRITES || (expired.isNotEmpty() && now - removedAtMs > REMOVAL_INTERVAL_MS)) {
             changed.trySend(Unit)
@@ -154,6 +159,22 @@
             row?.let { decodeOrNull { recordJson.decodeFromJsonElement<BegunStream>(it.value) } }.right()
         }
 
+    /** Loads the records of other processes, about [MAX_STREAMS] at most; returns the number of their streams. */
+    suspend fun load(): Either<PlatformError, Int> {
+        var after: String? = null
+        do {
+            val page =
+                checkNotNull(table).scan(STREAMS_TABLE, "", after, LOADED_PAGE).fold({ return it.left() }, { it })
+            val now = storeNowMs() ?: 0
+            page.rows.forEach { row ->
+                val stream = decodeOrNull { recordJson.decodeFromJsonElement<BegunStream>(row.value) }
+                if (stream != null && !stream.isOrphaned(now)) loaded[row.key] = stream
+            }
+            after = page.rows.lastOrNull()?.key
+        } while (page.more && after != null && loaded.size < MAX_STREAMS)
+        return loaded.size.right()
+    }
+
     /** Stores and removes records until cancelled. */
     suspend fun run(maxRetryDelay: Duration = 2.seconds): Nothing {
         while (true) {
@@ -232,7 +253,7 @@
             val orphans =
                 page.rows.filter { row ->
                     val stream = decodeOrNull { recordJson.decodeFromJsonElement<BegunStream>(row.value) }
-                    stream == null || stream.untilMs + ORPHANED_MS < now
+                    stream == null || stream.isOrphaned(now)
                 }
             val writes = orphans.map { TableWrite(STREAMS_TABLE, it.key, ifVersion = null, value = null) }
             if (writes.isNotEmpty()) table.transaction(writes)
@@ -240,10 +261,15 @@
         } while (page.more && after != null)
     }
 
+    private fun BegunStream.isOrphaned(storeNowMs: Long) = untilMs + ORPHANED_MS < storeNowMs
+
     private companion object {
         /** Entries of one transaction. */
         const val MAX_WRITES = 100
 
+        /** Rows of one read. */
+        const val LOADED_PAGE = 500
+
         /** Writes of an entry in one interval while callers lose their streams. */
         const val MAX_URGENT_WRITES = 4
 
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/SoftwareVersionTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/SoftwareVersionTest.kt
@@ -83,6 +83,29 @@
             }
         }
 
+        // A read of the store for each resumption is too slow for its caller while an entry has just started.
+        test("an entry that is ready after all were killed resumes recorded streams without asking the store") {
+            val old = List(2) { VersionedUpstream("v1", breaks = true) }
+            val new = List(2) { VersionedUpstream("v2", breaks = true) }
+            val instances = (old + new).mapIndexed { index, one -> "i-$index" to one }.toTypedArray()
+            withStore {
+                val first = entry(*instances)
+                val begun = List(20) { "b$it" to first.begin("b$it") }
+                Thread.sleep(RECORDED_WITHIN_MS)
+                kill(first)
+                (old + new).forEach { it.breaks.set(false) }
+                val second = entry(*instances)
+                fail()
+                begun.forEach { (id, version) ->
+                    val answer = second.resume(id, "$id-2")
+                    withClue(answer) {
+                        answer.versions() shouldBe setOf(version)
+                        answer shouldContain "id: $LAST_EVENT\n"
+                    }
+                }
+            }
+        }
+
         // As above, and the instances of the earlier version have left before the entries are back.
         test("a stream whose version has left while all entries were down is refused as not run") {
             val old = VersionedUpstream("v1", breaks = true)
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/StreamRecordsTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/StreamRecordsTest.kt
@@ -86,6 +86,24 @@
             }
         }
 
+        // More records than one read returns.
+        test("a process that starts loads the records of all streams, and forgets them when they are orphaned") {
+            runTest {
+                val platform = FakePlatform()
+                val first = RecordingEntry(this, platform).also { it.areSeveral = true }
+                repeat(1_200) { first.begin("r$it") }
+                delay(2_400)
+                val second = RecordingEntry(this, platform)
+                second.records.load().getOrNull() shouldBe 1_200
+                (0 until 1_200).forEach { second.records.versionOf(keyOf("r$it")) shouldBe "v1" }
+                // Callers come back late where all entries were gone for seconds.
+                delay(LIMIT_MS)
+                second.records.size shouldBe 1_200
+                delay(60_000)
+                second.records.size shouldBe 0
+            }
+        }
+
         test("a stream that its caller loses is recorded at once") {
             runTest {
                 val platform = FakePlatform()
