Handle sockets that cannot be created on the event loop

Cause: Netty reports such a socket on a thread of its own, on which the request's next attempt then ran beside the event loop. An exception during a dispatch left the queue of its upstream marked as dispatching for good. Change: the outcome of each attempt to connect is handled on the loop, and the mark of a dispatch is taken back in any case. Ruled out: a cap on callers' connections, which would leave the wrong thread.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/gateway/StreamQueue.kt
@@ -120,7 +120,15 @@
             // An attempt may fail synchronously and call dispatch() again; the outer call already sees the effects.
             if (isDispatching || queue.size == 0) return
             isDispatching = true
-            val now = nowMs()
+            try {
+                dispatchAt(nowMs())
+            } finally {
+                isDispatching = false
+            }
+            if (queue.size > 0) schedule()
+        }
+
+        private fun dispatchAt(now: Long) {
             val views = views(now)
             val pace = fairness.paceOf(upstream)
             val groupShares = groupSharesOf(upstream)
@@ -140,8 +148,6 @@
                     dispatched(start)?.onDispatched(view.instance, uncached, holder)
                 }
             expired.forEach { requests.remove(it.request.id)?.onQueueTimeout() }
-            isDispatching = false
-            if (queue.size > 0) schedule()
         }
 
         /** The request of [start], or null if it ended during this dispatch. */
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
@@ -115,13 +115,15 @@
 
 /**
  * Opens connections, and pools them for reuse if [reuseConnections] is set. An attempt to connect fails after
- * [connectTimeout]. [onOutOfStep] is told of each connection whose responses do not follow its requests.
+ * [connectTimeout]. [newChannel] creates the sockets. [onOutOfStep] is told of each connection whose responses do not
+ * follow its requests.
  */
 internal class HttpConnections(
     val loop: EventLoop,
     private val nowMs: () -> Long,
     private val connectTimeout: Duration = 400.milliseconds,
     val reuseConnections: Boolean = true,
+    private val newChannel: () -> SocketChannel = ::NioSocketChannel,
     val onOutOfStep: (OutOfStep) -> Unit = {},
 ) {
     private val servers = HashMap<String, ServerConnections>()
@@ -165,7 +167,7 @@
         val future =
             Bootstrap()
                 .group(loop)
-                .channel(NioSocketChannel::class.java)
+                .channelFactory(newChannel)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout.inWholeMilliseconds.toInt())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
@@ -183,16 +185,17 @@
                         }
                     },
                 ).connect(server.socketAddress)
-        future.addListener(
-            ChannelFutureListener {
-                if (it.isSuccess) {
-                    server.recordConnect(nowMs() - startedMs)
-                    onConnected(connection)
-                } else {
-                    onFailed(it.cause())
-                }
-            },
-        )
+
+        fun ended() {
+            if (future.isSuccess) {
+                server.recordConnect(nowMs() - startedMs)
+                onConnected(connection)
+            } else {
+                onFailed(future.cause())
+            }
+        }
+        // Netty reports a socket that could not be created on a thread of its own.
+        future.addListener(ChannelFutureListener { if (loop.inEventLoop()) ended() else loop.execute(::ended) })
     }
 }
 
