Judge an instance by what its process says now

What callers would have seen: after an instance had lost power and started again under its id and address, a connection of the process before that still looked open made its entry refuse resumable streams there (503) until the instance started once more. Cause: what a process had stated on a kept connection counted against the one that is listed now. Evidence: RestartedInstanceTest, "a kept connection to the process of before ...", failed before (503), passes now; the other 12 pass. Change: such a connection is closed and the next one is asked. A delay is a Duration, and a connection keeps the start of the process alone.

--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnection.kt
@@ -26,8 +26,8 @@
 ) : ChannelInboundHandlerAdapter() {
     val writeProgress = WriteProgress()
 
-    /** What the server has said of its process on this connection. */
-    var process: ProcessStatement? = null
+    /** When the server's process started, in Unix milliseconds, if it has stated that on this connection. */
+    var processStartedAtMs: Long? = null
     private lateinit var channel: Channel
     private var request: OutgoingRequest? = null
     private var listener: ExchangeListener? = null
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/HttpConnections.kt
@@ -247,11 +247,10 @@
     ) = connections.open(this, onConnected, onFailed)
 
     fun schedule(
-        delay: Long,
-        unit: TimeUnit,
+        delay: Duration,
         task: () -> Unit,
     ) {
-        connections.loop.schedule(task, delay, unit)
+        connections.loop.schedule(task, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
     private fun sendOnNewConnection(
--- a/daemon/src/main/kotlin/io/teaselspring/daemon/http/ProcessCheck.kt
+++ b/daemon/src/main/kotlin/io/teaselspring/daemon/http/ProcessCheck.kt
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
 import java.io.ByteArrayOutputStream
-import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -33,12 +32,10 @@
     val query: ProcessQuery,
 )
 
-/** What a server has said of its process on a connection; a null [startedAtMs] if it does not state that. */
-internal data class ProcessStatement(
-    val startedAtMs: Long?,
-)
-
-/** An exchange that sends [request] on a connection to [expected], or on one to a server that states no process. */
+/**
+ * An exchange that sends [request] on a connection to [expected]. A server that does not state its process gets it on
+ * any connection.
+ */
 internal class CheckedExchange(
     private val server: ServerConnections,
     private val request: OutgoingRequest,
@@ -53,7 +50,7 @@
 
     /** Takes an idle connection to the process if there is one, else any idle one, else a new one. */
     fun start() {
-        val idle = server.takeIdle { it.process?.startedAtMs == expected.startedAtMs }
+        val idle = server.takeIdle { it.processStartedAtMs == expected.startedAtMs }
         if (idle != null) return useConnection(idle, isNew = false)
         server.open(
             onConnected = { if (isCancelled) it.close() else useConnection(it, isNew = true) },
@@ -65,13 +62,13 @@
         connection: HttpConnection,
         isNew: Boolean,
     ) {
-        val statement = connection.process
-        when {
-            statement == null -> ask(connection, isNew)
-            statement.startedAtMs == null || statement.startedAtMs == expected.startedAtMs -> begin(connection)
+        when (connection.processStartedAtMs) {
+            null -> ask(connection, isNew)
+            expected.startedAtMs -> begin(connection)
             else -> {
+                // Left open by a process of before, which may have lost power.
                 connection.close()
-                listener.otherProcess(statement.startedAtMs)
+                start()
             }
         }
     }
@@ -96,7 +93,7 @@
         val headers = DefaultHttpHeaders().set(HttpHeaderNames.HOST, server.address)
         val answer = Answer(connection, isNew)
         asking = connection.start(OutgoingRequest(HttpMethod.GET, expected.query.uri, headers), answer)
-        server.schedule(expected.query.limit.inWholeMilliseconds, TimeUnit.MILLISECONDS, answer::timedOut)
+        server.schedule(expected.query.limit, answer::timedOut)
     }
 
     override fun cancel() {
@@ -148,23 +145,22 @@
                     listener.processUnstated()
                     sendToAny()
                 }
+                startedAtMs != expected.startedAtMs -> {
+                    connection.close()
+                    listener.otherProcess(startedAtMs)
+                }
                 else -> {
-                    connection.process = ProcessStatement(startedAtMs)
-                    goOn()
+                    connection.processStartedAtMs = startedAtMs
+                    when {
+                        server.takeBack(connection) -> begin(connection)
+                        // A server may close each connection after it has answered.
+                        isNew -> sendToAny()
+                        else -> start()
+                    }
                 }
             }
         }
 
-        private fun goOn() {
-            val isOpen = server.takeBack(connection)
-            when {
-                isOpen || connection.process?.startedAtMs != expected.startedAtMs -> useConnection(connection, isNew)
-                // A server may close each connection after it has answered.
-                isNew -> sendToAny()
-                else -> start()
-            }
-        }
-
         override fun notSent(reason: String) = ended(reason)
 
         override fun broken(reason: String) = ended(reason)
--- a/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/RestartedInstanceTest.kt
+++ b/daemon/src/test/kotlin/io/teaselspring/daemon/gateway/RestartedInstanceTest.kt
@@ -150,6 +150,18 @@
             }
         }
 
+        // The process of before has lost power, and its connections still look open.
+        test("a kept connection to the process of before does not count against the one that is listed now") {
+            val instance = RestartingUpstream("v1")
+            withInstances(instance) {
+                call(RESUMED, id = "b1") shouldContain "data: v1"
+                instance.restart("v2")
+                add("i-0", instance.upstream, version = "v2", startedAtMs = 2)
+                delay(REGISTRY_INTERVAL * 4)
+                (2..4).forEach { call(RESUMED, id = "b$it") shouldContain "data: v2" }
+            }
+        }
+
         test("a connection is asked once for its process") {
             val instance = RestartingUpstream("v1")
             withInstances(instance) {
